--- /dev/null
+++ b/src/main/kotlin/mountmast/WarmUp.kt
@@ -0,0 +1,98 @@
+package mountmast
+
+import kotlinx.serialization.encodeToString
+import mountmast.protocol.Attempt
+import mountmast.protocol.BeatAnswer
+import mountmast.protocol.JobValidation
+import mountmast.protocol.MachineId
+import mountmast.protocol.Order
+import mountmast.protocol.ReportedTask
+import mountmast.protocol.Session
+import mountmast.protocol.Settings
+import mountmast.protocol.Tally
+import mountmast.protocol.TaskState
+import mountmast.protocol.Term
+import mountmast.protocol.TypeId
+import mountmast.protocol.Verb
+import mountmast.protocol.WireJson
+import mountmast.protocol.WorkerReport
+import mountmast.protocol.Zone
+import mountmast.transport.HttpCaller
+import java.io.File
+import java.net.ServerSocket
+import java.util.jar.JarFile
+
+/**
+ * Run once by the build: loads what serving loads, so that the JVM can archive those classes when this ends.
+ * It serves on loopback for a moment, with nobody behind the cloud's and the state service's addresses.
+ */
+internal object WarmUp {
+    fun run() {
+        val (public, peer) = ServerSocket(0).use { a -> ServerSocket(0).use { b -> a.localPort to b.localPort } }
+        start(Settings.parse(settings(public, peer)))
+        loadOwnClasses()
+        callSelf(public)
+        Thread.sleep(SERVE_MS)
+    }
+
+    private fun loadOwnClasses() {
+        val jar = File(WarmUp::class.java.protectionDomain.codeSource.location.toURI())
+        if (!jar.isFile) return
+        JarFile(jar).use { file ->
+            file.entries().asSequence().map { it.name }.filter { it.endsWith(".class") && !it.startsWith("META-INF") }
+                .forEach { Class.forName(it.removeSuffix(".class").replace('/', '.')) }
+        }
+    }
+
+    private fun callSelf(port: Int) {
+        val caller = HttpCaller()
+        val self = java.net.InetSocketAddress("127.0.0.1", port)
+        val report = WorkerReport(
+            MachineId("vm-1"), "127.0.0.1:1", TypeId("t"), Zone("z"), false, Session(1u), Tally(1u), Term(0u), null,
+            listOf(ReportedTask("j-1/0", Attempt(1u), TaskState.RUNNING)),
+        )
+        WireJson.encodeToString(BeatAnswer(Term(1u), listOf(Order(Verb.START, "j-1/0", Attempt(1u)))))
+        JobValidation.parse(JobValidation.parseObject(JOB))
+        val bodies = listOf("/agent/beat" to WireJson.encodeToString(report), "/v1/jobs" to JOB)
+        for ((path, body) in bodies) caller.call(self, "POST", path, body.encodeToByteArray(), CALL_MS)
+        for (path in listOf("/ready", "/v1/jobs/j-1")) caller.call(self, "GET", path, null, CALL_MS)
+    }
+
+    private fun settings(public: Int, peer: Int) = """
+        node = "warm-0"
+        site = "z"
+        serve_on = "127.0.0.1:$public"
+        peer_listen = "127.0.0.1:$peer"
+        [endpoints]
+        cloud = "127.0.0.1:$peer"
+        state = "127.0.0.1:$peer"
+        [deployment]
+        size = 1
+        [[deployment.teams]]
+        name = "t"
+        cpus = 1.0
+        cpus_max = 1.0
+        gpus = 0.0
+        gpus_max = 0.0
+        [deployment.workers]
+        report_s = 1.0
+        lease_s = 10.0
+        cancel_s = 40.0
+        [deployment.state]
+        rps = 80.0
+        write_rps = 30.0
+        value_kb = 8.0
+        txn_ops = 16
+        [deployment.cloud]
+        rps = 5.0
+        list_lag_s = 3.0
+        [deployment.resources]
+        max_connections = 100
+    """.trimIndent()
+
+    private const val JOB = """{"nameId":"j-000001","jobclass":"c","owner":"t","shape":"array","urgency":"high","pieces":1,
+        "vcpus":1.0,"cards":0.0,"memGb":1.0,"bundle":"i","sizeGb":1.0,"hulls":null,"yard":null,"together":false,
+        "scatter":false,"loaners":true,"expectedS":1.0,"markEveryS":0.0,"markCostS":0.0,"dueS":null}"""
+    private const val SERVE_MS = 2500L
+    private const val CALL_MS = 3000
+}
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/Fleet.kt
@@ -0,0 +1,284 @@
+package mountmast.coordination
+
+import mountmast.protocol.Clock
+import mountmast.protocol.ListedMachine
+import mountmast.protocol.ListedState
+import mountmast.protocol.MachineId
+import mountmast.protocol.MachineType
+import mountmast.protocol.MachineTypes
+import mountmast.protocol.Moment
+import mountmast.protocol.RentalId
+import mountmast.protocol.RentalRequest
+import mountmast.protocol.Resources
+import mountmast.protocol.TypeId
+import mountmast.protocol.Zone
+import mountmast.transport.Cloud
+import mountmast.transport.CloudTrouble
+import mountmast.transport.RentalOutcome
+import org.slf4j.LoggerFactory
+import kotlin.concurrent.withLock
+
+private val log = LoggerFactory.getLogger("mountmast.fleet")
+
+/** A kind of machine that can be asked for. */
+data class Offer(val type: TypeId, val zone: Zone, val spot: Boolean)
+
+/** How machines are rented and returned. */
+data class FleetPolicy(
+    val idleReturnMs: Long = 60_000,
+    val noCapacityPauseMs: Long = 10_000,
+    val listEveryMs: Long = 5_000,
+    val typesEveryMs: Long = 60_000,
+)
+
+/** Rents machines for work that waits and returns those that nobody needs. One per reign. */
+class Fleet(
+    private val reign: Reign,
+    private val cloud: Cloud,
+    private val clock: Clock,
+    /** Begins the names of rental requests; no other process ever uses the same. */
+    private val rentalPrefix: String,
+    private val policy: FleetPolicy,
+) {
+    private val ledger get() = reign.ledger
+    private val unavailable = HashMap<Offer, Moment>()
+
+    /** Spot machines lost lately, which makes an offer look dearer. */
+    private val losses = HashMap<Offer, Double>()
+    private var rentals = 0
+    private var typesAt: Moment? = null
+    private var listAt: Moment? = null
+
+    /** A rental whose outcome is unknown: asked for again by the same name, so that it cannot be made twice. */
+    private var unsettled: RentalRequest? = null
+
+    /** One round; called about once a second. */
+    fun step() {
+        try {
+            val now = clock.now()
+            if (due(typesAt, policy.typesEveryMs, now)) readTypes(now)
+            if (due(listAt, policy.listEveryMs, now)) readList(now)
+            giveBack(now)
+            rent(now)
+        } catch (e: CloudTrouble) {
+            log.debug("cloud: {}", e.message)
+        }
+    }
+
+    private fun due(last: Moment?, everyMs: Long, now: Moment) = last == null || now - last >= everyMs
+
+    private fun readTypes(now: Moment) {
+        val types = try {
+            cloud.machineTypes()
+        } catch (e: CloudTrouble) {
+            // The store keeps the types, so that an outage of the cloud stops nobody from submitting.
+            if (reign.lock.withLock { ledger.types.isEmpty() }) throw e
+            return
+        }
+        typesAt = now
+        reign.lock.withLock {
+            val known = ledger.types.values.map { it.copy(price = 0.0, spotPrice = 0.0) }
+            val changed = known != types.map { it.copy(price = 0.0, spotPrice = 0.0) }
+            reign.setTypes(MachineTypes(types))
+            if (changed) {
+                reign.pendingTypes = MachineTypes(types)
+                reign.wakeWriter()
+            }
+        }
+    }
+
+    private fun readList(now: Moment) {
+        val listed = ArrayList<ListedMachine>()
+        do {
+            val page = cloud.list(listed.lastOrNull()?.id)
+            listed += page.machines
+        } while (page.more && page.machines.isNotEmpty())
+        listAt = now
+        reign.lock.withLock { for (machine in listed) takeIn(machine, now) }
+    }
+
+    private fun takeIn(listed: ListedMachine, now: Moment) {
+        if (listed.id in ledger.tombstones) return
+        val known = ledger.machines[listed.id]
+        if (known == null || known.type == null) {
+            val machine = Machine(listed.id, listed.type, listed.zone, listed.spot, known?.state ?: MachineState.BOOTING)
+            machine.rentedAt = now + -(listed.ageS * 1000).toLong()
+            machine.knownAt = now
+            machine.address = listed.address
+            machine.answeredAt = known?.answeredAt ?: now
+            known?.live?.let { machine.live.putAll(it) }
+            machine.listedRunning = listed.state == ListedState.RUNNING
+            ledger.machines[listed.id] = machine
+        }
+        if (listed.state == ListedState.FAILED) ledger.machines[listed.id]?.listedFailed = true
+    }
+
+    private fun giveBack(now: Moment) {
+        val names = reign.lock.withLock {
+            val wanted = ledger.machines.values.filter { it.id !in ledger.tombstones && (it.deleting || shouldGo(it, now)) }
+            for (machine in wanted) {
+                if (!machine.deleting) noteDeparture(machine)
+                machine.deleting = true
+            }
+            wanted.map { it.id }.take(Cloud.MOST_PER_DELETION)
+        }
+        if (names.isEmpty()) return
+        cloud.delete(names)
+        reign.lock.withLock {
+            for (name in names) ledger.buryMachine(name, clock.now())
+            val old = ledger.tombstones.entries.takeWhile { now - it.value > TOMBSTONE_MS }.map { it.key }
+            ledger.tombstones.keys.removeAll(old.toSet())
+            reign.wakeWriter()
+        }
+    }
+
+    private fun noteDeparture(machine: Machine) {
+        val why = when {
+            machine.listedFailed -> "failed"
+            machine.state == MachineState.EXPIRED -> "silent"
+            machine.quarantined -> "sick"
+            machine.state == MachineState.BOOTING -> "never came up"
+            machine.noticed -> "to be taken"
+            else -> "idle"
+        }
+        log.info("machine {} ({}, {}) returned: {}", machine.id, machine.type, machine.zone, why)
+        val offer = offerOf(machine) ?: return
+        if (machine.spot && (machine.state == MachineState.EXPIRED || machine.noticed)) losses.merge(offer, 1.0, Double::plus)
+    }
+
+    private fun offerOf(machine: Machine): Offer? {
+        return Offer(machine.type ?: return null, machine.zone ?: return null, machine.spot)
+    }
+
+    private fun shouldGo(machine: Machine, now: Moment): Boolean {
+        val type = ledger.types[machine.type] ?: return false
+        val bootMs = (type.bootS * 1000).toLong()
+        return when (machine.state) {
+            MachineState.EXPIRED -> true
+            MachineState.SILENT -> machine.listedFailed
+            MachineState.BOOTING -> machine.listedFailed ||
+                now - maxOf(machine.rentedAt, machine.knownAt + -bootMs) > BOOT_PATIENCE * bootMs + BOOT_EXTRA_MS
+            MachineState.UP -> {
+                val empty = machine.live.isEmpty()
+                machine.listedFailed || (empty && (machine.quarantined || machine.noticed)) ||
+                    (empty && machine.reservedFor == null && now - machine.idleSince > idleReturnMs(bootMs) &&
+                        now - machine.rentedAt > LEAST_PAID_MS)
+            }
+        }
+    }
+
+    /** What takes long to boot is kept longer. */
+    private fun idleReturnMs(bootMs: Long) = maxOf(policy.idleReturnMs, 2 * bootMs)
+
+    private fun rent(now: Moment) {
+        unsettled?.let { return settle(it, now) }
+        val wishes = reign.lock.withLock { wishes(now) }
+        for ((offer, count) in wishes) {
+            val id = RentalId("$rentalPrefix-${++rentals}")
+            settle(RentalRequest(id, offer.type, offer.zone, offer.spot, minOf(count, Cloud.MOST_PER_RENTAL)), now)
+        }
+    }
+
+    private fun settle(request: RentalRequest, now: Moment) {
+        val offer = Offer(request.type, request.zone, request.spot)
+        unsettled = request
+        val outcome = try {
+            cloud.rent(request)
+        } catch (e: CloudTrouble) {
+            if (!e.mayBeCarriedOut) unsettled = null
+            throw e
+        }
+        unsettled = null
+        when (outcome) {
+            RentalOutcome.NoCapacity -> unavailable[offer] = now + policy.noCapacityPauseMs
+            is RentalOutcome.Rented -> {
+                if (outcome.machines.size < request.count) unavailable[offer] = now + policy.noCapacityPauseMs
+                log.info("rented {} of {} {} in {}{}", outcome.machines.size, request.count, offer.type, offer.zone, if (offer.spot) ", spot" else "")
+                reign.lock.withLock {
+                    for (id in outcome.machines) {
+                        if (id in ledger.machines || id in ledger.tombstones) continue
+                        ledger.machines[id] = Machine(id, offer.type, offer.zone, offer.spot, MachineState.BOOTING).apply {
+                            rentedAt = now
+                            knownAt = now
+                            idleSince = now
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /** What to rent: machines for the waiting tasks that those still booting will not have room for. */
+    private fun wishes(now: Moment): Map<Offer, Int> {
+        losses.replaceAll { _, lost -> lost * LOSS_DECAY }
+        val rooms = ledger.machines.values
+            .filter { it.state == MachineState.BOOTING && !it.deleting && !it.listedRunning }
+            .mapNotNull { machine -> offerOf(machine)?.let { offer -> ledger.types[offer.type]?.let { Planned(offer, it.capacity) } } }
+            .toMutableList()
+        val wishes = LinkedHashMap<Offer, Int>()
+        for (waits in reign.waiting) {
+            val job = ledger.jobs[waits.job] ?: continue
+            if (job.poisoned) continue
+            var left = waits.tasks
+            for (room in rooms) left -= room.take(job, left)
+            while (left > 0 && wishes.values.sum() < MOST_WISHES) {
+                val (offer, type) = bestOffer(job, left, now) ?: break
+                wishes.merge(offer, 1, Int::plus)
+                val room = Planned(offer, type.capacity)
+                rooms += room
+                val taken = room.take(job, left)
+                if (taken == 0) break
+                left -= taken
+            }
+        }
+        return wishes
+    }
+
+    private class Planned(val offer: Offer, var room: Resources) {
+        fun take(job: Job, most: Int): Int {
+            if (most <= 0 || !allows(job, offer)) return 0
+            val count = job.perTask.timesIn(room, most)
+            room -= job.perTask * count
+            return count
+        }
+    }
+
+    private fun bestOffer(job: Job, wanted: Int, now: Moment): Pair<Offer, MachineType>? {
+        var best: Pair<Offer, MachineType>? = null
+        var bestCost = Double.MAX_VALUE
+        for (type in ledger.types.values) {
+            val slots = job.perTask.timesIn(type.capacity, wanted)
+            if (slots == 0) continue
+            for (zone in type.zones) for (spot in listOf(true, false)) {
+                val offer = Offer(type.id, zone, spot)
+                if (!allows(job, offer) || unavailable[offer].let { it != null && now < it }) continue
+                val price = (if (spot) type.spotPrice else type.price) * (1 + (losses[offer] ?: 0.0) * LOSS_WEIGHT)
+                val cost = price / slots
+                if (cost < bestCost) {
+                    bestCost = cost
+                    best = offer to type
+                }
+            }
+        }
+        return best
+    }
+
+    private companion object {
+        fun allows(job: Job, offer: Offer): Boolean {
+            val spec = job.spec
+            return (spec.types == null || offer.type in spec.types) && (spec.zone == null || spec.zone == offer.zone) &&
+                (spec.spotAllowed || !offer.spot)
+        }
+
+        /** Some machines take several times as long to boot; what exceeds this is given up. */
+        const val BOOT_PATIENCE = 4
+        const val BOOT_EXTRA_MS = 15_000L
+
+        /** A machine costs at least a minute, so returning it sooner saves nothing. */
+        const val LEAST_PAID_MS = 55_000L
+        const val TOMBSTONE_MS = 600_000L
+        const val LOSS_DECAY = 0.99
+        const val LOSS_WEIGHT = 0.1
+        const val MOST_WISHES = 40
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/JobDesk.kt
@@ -0,0 +1,177 @@
+package mountmast.coordination
+
+import com.google.common.cache.Cache
+import com.google.common.cache.CacheBuilder
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.decodeFromJsonElement
+import kotlinx.serialization.json.encodeToJsonElement
+import mountmast.protocol.Clock
+import mountmast.protocol.JobAnswer
+import mountmast.protocol.JobId
+import mountmast.protocol.JobSpec
+import mountmast.protocol.JobStatus
+import mountmast.protocol.JobValidation
+import mountmast.protocol.MachineType
+import mountmast.protocol.MachineTypes
+import mountmast.protocol.Malformed
+import mountmast.protocol.RelayRequest
+import mountmast.protocol.Stamp
+import mountmast.protocol.TeamId
+import mountmast.protocol.TeamQuota
+import mountmast.protocol.WireJson
+import mountmast.storage.ChunkRecord
+import mountmast.storage.CommitOutcome
+import mountmast.storage.Condition
+import mountmast.storage.Entry
+import mountmast.storage.JobRecord
+import mountmast.storage.Keys
+import mountmast.storage.OverRecord
+import mountmast.storage.Ranges
+import mountmast.storage.StateStore
+import mountmast.storage.StoreTrouble
+import mountmast.storage.Transaction
+import mountmast.storage.Write
+import mountmast.transport.UserAnswer
+import mountmast.transport.UserService
+import mountmast.transport.refusal
+import java.util.BitSet
+
+/**
+ * Serves users on any node. The store is the truth: a job is called accepted, done or cancelled only after it says
+ * so, and what is not final is read from it each time.
+ */
+class JobDesk(
+    private val store: StateStore,
+    private val teams: Map<TeamId, TeamQuota>,
+    private val clock: Clock,
+    /** Passes a request to a node that reaches the store, if this one does not. */
+    private val relay: (RelayRequest) -> UserAnswer?,
+    private val isReady: () -> Boolean,
+) : UserService {
+    @Volatile
+    private var types: List<MachineType> = emptyList()
+    val knowsTypes: Boolean get() = types.isNotEmpty()
+
+    /** Final states never change, so they may be answered from memory. */
+    private val over: Cache<JobId, OverRecord> = CacheBuilder.newBuilder().maximumSize(MOST_REMEMBERED).build()
+
+    /** Reads the machine types that the leader has stored. */
+    fun refreshTypes() {
+        val entry = store.get(Keys.TYPES) ?: return
+        types = WireJson.decodeFromJsonElement<MachineTypes>(entry.value).types
+    }
+
+    override fun ready() = isReady()
+
+    override fun submit(body: String, relayed: Boolean): UserAnswer {
+        val json: JsonObject
+        val id: JobId
+        try {
+            json = JobValidation.parseObject(body)
+            id = JobValidation.idOf(json)
+        } catch (e: Malformed) {
+            return UserAnswer(400, refusal(e.message ?: "malformed"))
+        }
+        over.getIfPresent(id)?.let { return known(id, it) }
+        return served(relayed, RelayRequest("POST", "/v1/jobs", body)) { submitKnownForm(id, json) }
+    }
+
+    private fun submitKnownForm(id: JobId, json: JsonObject): UserAnswer {
+        val spec = try {
+            JobValidation.parse(json)
+        } catch (e: Malformed) {
+            return lookUp(id) ?: UserAnswer(400, refusal(e.message ?: "malformed"))
+        }
+        val types = types
+        if (types.isEmpty()) return lookUp(id) ?: later("machine types are not known yet")
+        JobValidation.neverRuns(spec, teams, types)?.let { why -> return lookUp(id) ?: UserAnswer(422, refusal(why)) }
+        return when (store.commit(accept(spec))) {
+            is CommitOutcome.Committed -> UserAnswer(201, encode(JobAnswer(id, JobStatus.PENDING)))
+            is CommitOutcome.Conflict -> lookUp(id) ?: later("try again")
+        }
+    }
+
+    private fun accept(spec: JobSpec) = Transaction(
+        listOf(Condition(Keys.job(spec.id), Stamp.ABSENT), Condition(Keys.over(spec.id), Stamp.ABSENT)),
+        listOf(Write.Put(Keys.job(spec.id), WireJson.encodeToJsonElement(JobRecord(spec, clock.wall())))),
+    )
+
+    override fun status(id: String, relayed: Boolean): UserAnswer {
+        val job = JobId.parse(id) ?: return unknown()
+        over.getIfPresent(job)?.let { return known(job, it) }
+        return served(relayed, RelayRequest("GET", "/v1/jobs/$id", "")) { lookUp(job) ?: unknown() }
+    }
+
+    override fun cancel(id: String, relayed: Boolean): UserAnswer {
+        val job = JobId.parse(id) ?: return unknown()
+        over.getIfPresent(job)?.let { return known(job, it) }
+        return served(relayed, RelayRequest("POST", "/v1/jobs/$id/cancel", "")) { cancelKnownForm(job) }
+    }
+
+    private fun cancelKnownForm(id: JobId): UserAnswer {
+        repeat(TRIES) {
+            val entry = store.get(Keys.job(id)) ?: return lookUp(id) ?: unknown()
+            val record = record(entry)
+            if (record.cancelled) return known(id, remember(id, record))
+            // Done and cancelled race on this key: only one of them finds the version it expects.
+            val cancelled = record.copy(cancelled = true)
+            val transaction = Transaction(
+                listOf(Condition(entry.key, entry.stamp)),
+                listOf(Write.Put(entry.key, WireJson.encodeToJsonElement(cancelled))),
+            )
+            if (store.commit(transaction) is CommitOutcome.Committed) return known(id, remember(id, cancelled))
+        }
+        return later("try again")
+    }
+
+    /** The state of a known job, or null where no such job was accepted. */
+    private fun lookUp(id: JobId): UserAnswer? {
+        store.get(Keys.job(id))?.let { return describe(record(it)) }
+        // A job moves from one key to the other but never back, so this order cannot miss it.
+        val entry = store.get(Keys.over(id)) ?: return null
+        val record = WireJson.decodeFromJsonElement<OverRecord>(entry.value)
+        over.put(id, record)
+        return known(id, record)
+    }
+
+    private fun describe(record: JobRecord): UserAnswer {
+        val id = record.spec.id
+        if (record.cancelled) return known(id, remember(id, record))
+        val done = BitSet()
+        var running = 0
+        for (entry in store.list("${Keys.CHUNKS}$id/").entries) {
+            val chunk = WireJson.decodeFromJsonElement<ChunkRecord>(entry.value)
+            Ranges.decodeInto(chunk.done, done)
+            running += chunk.live.size
+        }
+        val status = if (running > 0) JobStatus.RUNNING else JobStatus.PENDING
+        return UserAnswer(200, encode(JobAnswer(id, status, done.cardinality(), running)))
+    }
+
+    private fun remember(id: JobId, record: JobRecord): OverRecord =
+        OverRecord(JobStatus.CANCELLED, record.spec.tasks).also { over.put(id, it) }
+
+    private fun known(id: JobId, record: OverRecord): UserAnswer {
+        val done = if (record.status == JobStatus.DONE) record.tasks else null
+        return UserAnswer(200, encode(JobAnswer(id, record.status, done, running = done?.let { 0 })))
+    }
+
+    /** Serves from the store, or through another node; where neither can, the user is told at once to come back. */
+    private fun served(relayed: Boolean, request: RelayRequest, serve: () -> UserAnswer): UserAnswer = try {
+        serve()
+    } catch (e: StoreTrouble) {
+        (if (relayed) null else relay(request)) ?: later("the state service does not answer")
+    }
+
+    private fun record(entry: Entry) = WireJson.decodeFromJsonElement<JobRecord>(entry.value)
+    private fun encode(answer: JobAnswer) = WireJson.encodeToString(answer)
+    private fun unknown() = UserAnswer(404, refusal("no such job"))
+    private fun later(why: String) = UserAnswer(503, refusal(why), RETRY_AFTER_S)
+
+    private companion object {
+        const val TRIES = 3
+        const val RETRY_AFTER_S = 1
+        const val MOST_REMEMBERED = 20_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/Leadership.kt
@@ -0,0 +1,193 @@
+package mountmast.coordination
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.decodeFromJsonElement
+import kotlinx.serialization.json.encodeToJsonElement
+import mountmast.protocol.Clock
+import mountmast.protocol.HoldId
+import mountmast.protocol.Moment
+import mountmast.protocol.NodeId
+import mountmast.protocol.Stamp
+import mountmast.protocol.Term
+import mountmast.protocol.WireJson
+import mountmast.storage.CommitOutcome
+import mountmast.storage.Condition
+import mountmast.storage.HoldEnded
+import mountmast.storage.Keys
+import mountmast.storage.LeaderRecord
+import mountmast.storage.StateStore
+import mountmast.storage.StoreTrouble
+import mountmast.storage.TermRecord
+import mountmast.storage.Transaction
+import mountmast.storage.Write
+import org.slf4j.LoggerFactory
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+private val log = LoggerFactory.getLogger("mountmast.leadership")
+
+/** How long leaders may act without the state service, derived from what the workers are promised. */
+data class Timing(val ttlMs: Long, val graceMs: Long, val leaseMs: Long) {
+    /** After this long without an answer from a leader a worker has given up its tasks, drift included. */
+    val leaseOverMs: Long get() = drifted(leaseMs) + MARGIN_MS
+
+    /** For this long after its election a leader must suppose that the one before still answers workers. */
+    val formerLeaderMs: Long get() = drifted(graceMs) + MARGIN_MS
+
+    companion object {
+        const val TTL_MS = 5000L
+        private const val MARGIN_MS = 500L
+
+        /** Twice the promised bound of 0.05%, once for either clock. */
+        private fun drifted(ms: Long) = ms + ms / 1000 + 1
+
+        /**
+         * The grace ends early enough that a task which only a cut-off leader can reach is gone within
+         * `cancel_s` of its cancellation: the hold, the grace and the worker's lease run out one after another.
+         */
+        fun of(leaseS: Double, cancelS: Double): Timing {
+            val lease = (leaseS * 1000).toLong()
+            val grace = (cancelS * 1000).toLong() - lease - TTL_MS - 3000
+            return Timing(TTL_MS, grace.coerceIn(0, 60_000), lease)
+        }
+    }
+}
+
+/** A time of leading: the term, and the version of the leader's key on which every write depends. */
+class Mandate(val term: Term, val stamp: Stamp, val hold: HoldId, val electedAt: Moment)
+
+/**
+ * Decides which node leads. The leader's key hangs on a hold at the state service; the term is kept beside it for
+ * good and rises with every election.
+ */
+class Leadership(
+    private val store: StateStore,
+    private val node: NodeId,
+    /** Drawn anew at each start: an instant restart must not be taken for the holder it replaces. */
+    private val run: String,
+    private val timing: Timing,
+    private val clock: Clock,
+) {
+    private val lock = ReentrantLock()
+    private var mandate: Mandate? = null
+    private var confirmedAt = Moment(0)
+    private var leader: NodeId? = null
+    private var highest = Term(0u)
+    private var doubted = false
+    private var spareHold: HoldId? = null
+
+    fun mandate(): Mandate? = lock.withLock { mandate }
+    fun leader(): NodeId? = lock.withLock { if (mandate != null) node else leader }
+    fun highestTerm(): Term = lock.withLock { highest }
+
+    /**
+     * Whether workers may be answered. A leader that cannot renew cannot tell an outage, in which every hold stays,
+     * from a cut that concerns only itself; so it keeps workers alive for the grace, and a successor waits that long.
+     */
+    fun mayAnswerWorkers(): Boolean = lock.withLock {
+        mandate != null && clock.now() - confirmedAt < timing.ttlMs + timing.graceMs
+    }
+
+    /** Somebody saw [term]. A higher one than ours means another leader, unless the store says otherwise. */
+    fun heard(term: Term) {
+        lock.withLock {
+            if (term > highest) highest = term
+            val own = mandate ?: return
+            if (term > own.term) doubted = true
+        }
+    }
+
+    /** The leader's key was found changed. */
+    fun lost() = lock.withLock {
+        mandate?.let { log.info("no longer leading in term {}", it.term) }
+        mandate = null
+        leader = null
+        doubted = false
+    }
+
+    /** One look at the state service: renews, follows or tries to lead. Called about once a second. */
+    fun step() {
+        try {
+            val own = mandate()
+            if (own == null) followOrElect() else renew(own)
+        } catch (e: StoreTrouble) {
+            log.debug("state service: {}", e.message)
+            lock.withLock {
+                val own = mandate ?: return
+                val unconfirmed = clock.now() - confirmedAt >= timing.ttlMs
+                if (unconfirmed && doubted) lost()
+            }
+        }
+    }
+
+    private fun renew(own: Mandate) {
+        val asked = clock.now()
+        if (!store.renewHold(own.hold)) return lost()
+        lock.withLock { confirmedAt = asked }
+        if (lock.withLock { doubted }) {
+            // A worker or peer named a higher term. Only the store knows; a made-up number must not end a reign.
+            val entry = store.get(Keys.LEADER)
+            if (entry?.stamp != own.stamp) lost() else lock.withLock { doubted = false }
+        }
+    }
+
+    private fun followOrElect() {
+        val entry = store.get(Keys.LEADER)
+        val record = entry?.let { decode(it.value) }
+        if (entry != null && record == null) return log.warn("the leader's key is unreadable")
+        if (record != null) heard(record.term)
+        if (entry != null && record != null && record.run == run) {
+            // A transaction of ours was carried out although no answer came.
+            spareHold?.let { begin(record.term, entry.stamp, it) }
+            return
+        }
+        // This node's earlier process is dead, or this one would not run: its place can be taken at once.
+        if (record != null && record.node != node) {
+            lock.withLock { leader = record.node }
+            return
+        }
+        elect(entry?.stamp ?: Stamp.ABSENT)
+    }
+
+    private fun elect(stamp: Stamp) {
+        val asked = clock.now()
+        val hold = spareHold?.takeIf { store.renewHold(it) } ?: store.grantHold(timing.ttlMs)
+        lock.withLock {
+            spareHold = hold
+            confirmedAt = asked
+        }
+        val termEntry = store.get(Keys.TERM)
+        val stored = termEntry?.let { WireJson.decodeFromJsonElement<TermRecord>(it.value).term } ?: Term(0u)
+        val term = stored.next()
+        val transaction = Transaction(
+            listOf(Condition(Keys.LEADER, stamp), Condition(Keys.TERM, termEntry?.stamp ?: Stamp.ABSENT)),
+            listOf(
+                Write.Put(Keys.LEADER, WireJson.encodeToJsonElement(LeaderRecord(node, run, term)), hold),
+                Write.Put(Keys.TERM, WireJson.encodeToJsonElement(TermRecord(term))),
+            ),
+        )
+        try {
+            when (val outcome = store.commit(transaction)) {
+                is CommitOutcome.Committed -> begin(term, Stamp(outcome.revision.number), hold)
+                is CommitOutcome.Conflict -> log.debug("another node was elected: {}", outcome.failed)
+            }
+        } catch (e: HoldEnded) {
+            lock.withLock { spareHold = null }
+        }
+    }
+
+    private fun begin(term: Term, stamp: Stamp, hold: HoldId) = lock.withLock {
+        mandate = Mandate(term, stamp, hold, clock.now())
+        spareHold = null
+        leader = node
+        doubted = false
+        if (term > highest) highest = term
+        log.info("leading in term {}", term)
+    }
+
+    private fun decode(value: kotlinx.serialization.json.JsonElement): LeaderRecord? = try {
+        WireJson.decodeFromJsonElement<LeaderRecord>(value)
+    } catch (e: SerializationException) {
+        null
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mountmast/protocol/PeerMessages.kt
@@ -0,0 +1,32 @@
+package mountmast.protocol
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.protobuf.ProtoNumber
+
+/** What controller nodes tell one another about once a second. */
+@Serializable
+data class PeerHello(
+    @ProtoNumber(1) val node: String,
+    /** Highest term this node has seen. */
+    @ProtoNumber(2) val term: Long,
+    /** Whether this node reached the state service lately. */
+    @ProtoNumber(3) val reachesState: Boolean,
+    /** Whether this node leads in [term]. */
+    @ProtoNumber(4) val leads: Boolean,
+)
+
+/** A user's request that the sender cannot serve itself. */
+@Serializable
+data class RelayRequest(
+    @ProtoNumber(1) val method: String,
+    @ProtoNumber(2) val path: String,
+    @ProtoNumber(3) val body: String,
+)
+
+/** The answer to a relayed request. */
+@Serializable
+data class RelayAnswer(
+    @ProtoNumber(1) val status: Int,
+    @ProtoNumber(2) val body: String,
+    @ProtoNumber(3) val retryAfterS: Int = 0,
+)
--- /dev/null
+++ b/src/main/kotlin/mountmast/protocol/Settings.kt
@@ -0,0 +1,177 @@
+package mountmast.protocol
+
+import com.electronwill.nightconfig.core.UnmodifiableConfig
+import com.electronwill.nightconfig.core.io.ParsingException
+import com.electronwill.nightconfig.toml.TomlParser
+import java.io.File
+import java.io.IOException
+import java.net.InetSocketAddress
+
+/** Settings that are missing, unreadable or contradictory; the message names the field. */
+class BadSettings(message: String) : Exception(message)
+
+/** What a team is guaranteed and what it may use at most; zero means none of either. */
+data class TeamQuota(
+    val id: TeamId,
+    val cpus: Double,
+    val cpusMax: Double,
+    val gpus: Double,
+    val gpusMax: Double,
+) {
+    val hasGuarantee: Boolean get() = cpus > 0 || gpus > 0
+
+    /** Whether [use] in all lies within the limit. */
+    fun limitAllows(use: Resources) =
+        (cpusMax <= 0 || use.cpus <= cpusMax + Resources.EPSILON) &&
+            (gpusMax <= 0 || use.gpus <= gpusMax + Resources.EPSILON)
+
+    /** Whether [use] in all lies within [times] the guarantee. */
+    fun guaranteeCovers(use: Resources, times: Double = 1.0) =
+        use.cpus <= cpus * times + Resources.EPSILON && use.gpus <= gpus * times + Resources.EPSILON
+}
+
+/** Another controller node. */
+data class Member(val node: NodeId, val zone: Zone, val endpoint: InetSocketAddress)
+
+/** What the platform hands over to a controller node. */
+data class Settings(
+    val node: NodeId,
+    val zone: Zone,
+    val serveOn: InetSocketAddress,
+    val peerListen: InetSocketAddress,
+    val members: List<Member>,
+    val cloud: InetSocketAddress,
+    val state: InetSocketAddress,
+    val teams: Map<TeamId, TeamQuota>,
+    val reportS: Double,
+    val leaseS: Double,
+    val cancelS: Double,
+    val stateRps: Double,
+    val stateWriteRps: Double,
+    val valueKb: Double,
+    val txnOps: Int,
+    val cloudRps: Double,
+    val listLagS: Double,
+    val maxConnections: Int,
+) {
+    val nodes: Int get() = members.size + 1
+
+    companion object {
+        /** Reads and checks the settings in [file]. */
+        fun read(file: File): Settings {
+            val text = try {
+                file.readText()
+            } catch (e: IOException) {
+                throw BadSettings("cannot read ${file.path}: ${e.message}")
+            }
+            return parse(text)
+        }
+
+        fun parse(text: String): Settings {
+            val toml = try {
+                TomlParser().parse(text)
+            } catch (e: ParsingException) {
+                throw BadSettings("not TOML: ${e.message}")
+            }
+            return Reader(toml).settings()
+        }
+    }
+
+    private class Reader(private val toml: UnmodifiableConfig) {
+        fun settings(): Settings {
+            val node = NodeId(string(toml, "node"))
+            val members = tables(toml, "members").mapIndexed { i, member ->
+                val at = "members[$i]."
+                Member(
+                    NodeId(string(member, "node", at)), Zone(string(member, "site", at)),
+                    address(member, "endpoint", at),
+                )
+            }
+            val names = members.map { it.node } + node
+            if (names.toSet().size != names.size) throw BadSettings("members: a node is named twice")
+            val size = whole(toml, "deployment.size", 1, 1000)
+            if (size != names.size) throw BadSettings("deployment.size: $size, but members name ${names.size} nodes")
+            val teams = tables(toml, "deployment.teams").mapIndexed { i, team -> quota(team, "deployment.teams[$i].") }
+            if (teams.isEmpty()) throw BadSettings("deployment.teams: missing")
+            if (teams.distinctBy { it.id }.size != teams.size) throw BadSettings("deployment.teams: a team is named twice")
+            val report = positive(toml, "deployment.workers.report_s")
+            val lease = positive(toml, "deployment.workers.lease_s")
+            if (lease <= report) throw BadSettings("deployment.workers.lease_s: not longer than report_s")
+            return Settings(
+                node = node,
+                zone = Zone(string(toml, "site")),
+                serveOn = address(toml, "serve_on"),
+                peerListen = address(toml, "peer_listen"),
+                members = members,
+                cloud = address(toml, "endpoints.cloud"),
+                state = address(toml, "endpoints.state"),
+                teams = teams.associateBy { it.id },
+                reportS = report,
+                leaseS = lease,
+                cancelS = positive(toml, "deployment.workers.cancel_s"),
+                stateRps = positive(toml, "deployment.state.rps"),
+                stateWriteRps = positive(toml, "deployment.state.write_rps"),
+                valueKb = positive(toml, "deployment.state.value_kb"),
+                txnOps = whole(toml, "deployment.state.txn_ops", 4, 10_000),
+                cloudRps = positive(toml, "deployment.cloud.rps"),
+                listLagS = amount(toml, "deployment.cloud.list_lag_s"),
+                maxConnections = whole(toml, "deployment.resources.max_connections", 16, 1_000_000),
+            )
+        }
+
+        private fun quota(team: UnmodifiableConfig, at: String): TeamQuota {
+            val quota = TeamQuota(
+                TeamId(string(team, "name", at)),
+                cpus = amount(team, "cpus", at), cpusMax = amount(team, "cpus_max", at),
+                gpus = amount(team, "gpus", at), gpusMax = amount(team, "gpus_max", at),
+            )
+            if (quota.cpusMax > 0 && quota.cpusMax < quota.cpus) throw BadSettings("${at}cpus_max: below cpus")
+            if (quota.gpusMax > 0 && quota.gpusMax < quota.gpus) throw BadSettings("${at}gpus_max: below gpus")
+            return quota
+        }
+
+        private fun raw(table: UnmodifiableConfig, path: String, at: String): Any =
+            table.get<Any?>(path) ?: throw BadSettings("$at$path: missing")
+
+        private fun string(table: UnmodifiableConfig, path: String, at: String = ""): String {
+            val value = raw(table, path, at) as? String ?: throw BadSettings("$at$path: not a string")
+            if (value.isBlank()) throw BadSettings("$at$path: empty")
+            return value
+        }
+
+        private fun amount(table: UnmodifiableConfig, path: String, at: String = ""): Double {
+            val value = raw(table, path, at) as? Number ?: throw BadSettings("$at$path: not a number")
+            val amount = value.toDouble()
+            if (!amount.isFinite() || amount < 0) throw BadSettings("$at$path: out of range")
+            return amount
+        }
+
+        private fun positive(table: UnmodifiableConfig, path: String): Double {
+            val amount = amount(table, path)
+            if (amount <= 0) throw BadSettings("$path: must be above 0")
+            return amount
+        }
+
+        private fun whole(table: UnmodifiableConfig, path: String, least: Int, most: Int): Int {
+            val value = amount(table, path)
+            if (value != Math.rint(value) || value < least || value > most) {
+                throw BadSettings("$path: must be a whole number from $least to $most")
+            }
+            return value.toInt()
+        }
+
+        private fun tables(table: UnmodifiableConfig, path: String): List<UnmodifiableConfig> {
+            val list = table.get<Any?>(path) ?: return emptyList()
+            if (list !is List<*>) throw BadSettings("$path: not a list of tables")
+            return list.map { it as? UnmodifiableConfig ?: throw BadSettings("$path: not a list of tables") }
+        }
+
+        private fun address(table: UnmodifiableConfig, path: String, at: String = ""): InetSocketAddress {
+            val text = string(table, path, at)
+            val colon = text.lastIndexOf(':')
+            val port = text.substring(colon + 1).toIntOrNull()
+            if (colon <= 0 || port == null || port !in 1..65535) throw BadSettings("$at$path: not host:port")
+            return InetSocketAddress(text.substring(0, colon), port)
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mountmast/protocol/Wire.kt
@@ -0,0 +1,231 @@
+package mountmast.protocol
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+
+/** How every JSON body is read and written: unknown fields are ignored, nulls are left out. */
+val WireJson = Json {
+    ignoreUnknownKeys = true
+    explicitNulls = false
+    encodeDefaults = false
+}
+
+/** Shape of a job. */
+@Serializable
+enum class Shape {
+    /** Independent tasks, each of which runs to completion. */
+    @SerialName("array") ARRAY,
+
+    /** Replicas that run until the job is cancelled. */
+    @SerialName("daemon") SERVICE,
+}
+
+/** Urgency of a job, most urgent first. */
+@Serializable
+enum class Urgency {
+    @SerialName("prod") PRODUCTION,
+    @SerialName("high") HIGH,
+    @SerialName("normal") NORMAL,
+    @SerialName("best_effort") BEST_EFFORT,
+}
+
+/** A job as its user submitted it. */
+@Serializable
+data class JobSpec(
+    @SerialName("nameId") val id: JobId,
+    @SerialName("jobclass") val jobClass: String,
+    @SerialName("owner") val team: TeamId,
+    @SerialName("shape") val shape: Shape,
+    @SerialName("urgency") val urgency: Urgency,
+    @SerialName("pieces") val tasks: Int,
+    @SerialName("vcpus") val cpus: Double,
+    @SerialName("cards") val gpus: Double,
+    @SerialName("memGb") val memoryGb: Double,
+    @SerialName("bundle") val image: ImageId,
+    @SerialName("sizeGb") val imageGb: Double,
+    @SerialName("hulls") val types: List<TypeId>? = null,
+    @SerialName("yard") val zone: Zone? = null,
+    @SerialName("together") val oneZone: Boolean,
+    @SerialName("scatter") val spread: Boolean,
+    @SerialName("loaners") val spotAllowed: Boolean,
+    @SerialName("expectedS") val estimateS: Double,
+    @SerialName("markEveryS") val checkpointEveryS: Double,
+    @SerialName("markCostS") val saveS: Double,
+    @SerialName("dueS") val deadlineS: Double? = null,
+) {
+    val perTask: Resources get() = Resources(cpus, gpus, memoryGb)
+
+    /** Most tasks that may be in one zone. */
+    val perZoneLimit: Int get() = if (spread) (tasks + 1) / 2 else tasks
+}
+
+/** State of a job as users see it. */
+@Serializable
+enum class JobStatus {
+    @SerialName("pending") PENDING,
+    @SerialName("running") RUNNING,
+    @SerialName("done") DONE,
+    @SerialName("cancelled") CANCELLED;
+
+    val isFinal: Boolean get() = this == DONE || this == CANCELLED
+}
+
+/** Answer to users about a job. */
+@Serializable
+data class JobAnswer(
+    @SerialName("nameId") val id: JobId,
+    @SerialName("status") val status: JobStatus,
+    @SerialName("done") val done: Int? = null,
+    @SerialName("running") val running: Int? = null,
+)
+
+/** Any refusal, to users and workers. */
+@Serializable
+data class Refusal(@SerialName("error") val error: String)
+
+/** State of a task on a worker. */
+@Serializable
+enum class TaskState {
+    @SerialName("pulling") FETCHING,
+    @SerialName("waiting") WAITING,
+    @SerialName("running") RUNNING,
+    @SerialName("flushing") SAVING,
+    @SerialName("exited") EXITED,
+}
+
+/** Why a task exited. */
+@Serializable
+enum class ExitCause {
+    @SerialName("done") DONE,
+    @SerialName("halted") STOPPED,
+    @SerialName("error") FAILED,
+    @SerialName("full") NO_ROOM,
+    @SerialName("in_use") BUSY,
+    @SerialName("no_such") UNKNOWN,
+    @SerialName("peers") PEERS,
+    @SerialName("alone") ALONE,
+}
+
+/** A task in a worker's report. */
+@Serializable
+data class ReportedTask(
+    @SerialName("piece") val task: String,
+    @SerialName("try") val attempt: Attempt,
+    @SerialName("status") val state: TaskState,
+    @SerialName("cause") val cause: ExitCause? = null,
+    @SerialName("stored") val saved: Boolean = false,
+)
+
+/** A worker's report. */
+@Serializable
+data class WorkerReport(
+    @SerialName("host") val machine: MachineId,
+    @SerialName("address") val address: String,
+    @SerialName("hull") val type: TypeId,
+    @SerialName("yard") val zone: Zone,
+    @SerialName("loaners") val spot: Boolean = false,
+    @SerialName("watch") val session: Session,
+    @SerialName("tally") val tally: Tally,
+    @SerialName("helm") val term: Term = Term(0u),
+    @SerialName("recallS") val noticeS: Double? = null,
+    @SerialName("pieces") val tasks: List<ReportedTask> = emptyList(),
+)
+
+/** What a command tells a worker to do. */
+@Serializable
+enum class Verb {
+    @SerialName("start") START,
+    @SerialName("kill") STOP,
+    @SerialName("forget") FORGET,
+}
+
+/** A command to a worker. */
+@Serializable
+data class Order(
+    @SerialName("verb") val verb: Verb,
+    @SerialName("piece") val task: String,
+    @SerialName("try") val attempt: Attempt,
+    @SerialName("windDownS") val graceS: Double? = null,
+)
+
+/** Answer to a worker's report. */
+@Serializable
+data class BeatAnswer(
+    @SerialName("helm") val term: Term,
+    @SerialName("orders") val orders: List<Order>,
+)
+
+/** Answer that sends a worker to another node. */
+@Serializable
+data class Redirect(@SerialName("bridge") val reportTo: NodeId? = null)
+
+/** Commands sent directly to a worker. */
+@Serializable
+data class OrdersMessage(
+    @SerialName("helm") val term: Term,
+    @SerialName("watch") val session: Session,
+    @SerialName("orders") val orders: List<Order>,
+)
+
+/** A machine type with the current prices. */
+@Serializable
+data class MachineType(
+    @SerialName("sku") val id: TypeId,
+    @SerialName("vcpus") val cpus: Double,
+    @SerialName("cards") val gpus: Double = 0.0,
+    @SerialName("memGb") val memoryGb: Double,
+    @SerialName("localGb") val cacheGb: Double,
+    @SerialName("fetchGbPerS") val fetchGbPerS: Double,
+    @SerialName("hourly") val price: Double,
+    @SerialName("lowPrice") val spotPrice: Double,
+    @SerialName("readyS") val bootS: Double,
+    @SerialName("yards") val zones: List<Zone>,
+) {
+    val capacity: Resources get() = Resources(cpus, gpus, memoryGb)
+}
+
+/** The machine types on offer. */
+@Serializable
+data class MachineTypes(@SerialName("hulls") val types: List<MachineType>)
+
+/** Request for machines. */
+@Serializable
+data class RentalRequest(
+    @SerialName("charter") val id: RentalId,
+    @SerialName("hull") val type: TypeId,
+    @SerialName("yard") val zone: Zone,
+    @SerialName("loaners") val spot: Boolean,
+    @SerialName("number") val count: Int,
+)
+
+/** Names of machines: those rented, or those to be deleted. */
+@Serializable
+data class MachineNames(@SerialName("hosts") val machines: List<MachineId>)
+
+/** State of a machine in the cloud's list. */
+@Serializable
+enum class ListedState {
+    @SerialName("booting") BOOTING,
+    @SerialName("running") RUNNING,
+    @SerialName("failed") FAILED,
+}
+
+/** A machine in the cloud's list. */
+@Serializable
+data class ListedMachine(
+    @SerialName("nameId") val id: MachineId,
+    @SerialName("address") val address: String? = null,
+    @SerialName("hull") val type: TypeId,
+    @SerialName("yard") val zone: Zone,
+    @SerialName("loaners") val spot: Boolean = false,
+    @SerialName("status") val state: ListedState,
+    @SerialName("ageS") val ageS: Double = 0.0,
+)
+
+/** A page of the cloud's list. */
+@Serializable
+data class MachinePage(
+    @SerialName("hosts") val machines: List<ListedMachine>,
+    @SerialName("truncated") val more: Boolean = false,
+)
--- /dev/null
+++ b/src/main/kotlin/mountmast/storage/HttpStateStore.kt
@@ -0,0 +1,213 @@
+package mountmast.storage
+
+import com.google.common.util.concurrent.RateLimiter
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.decodeFromString
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.JsonElement
+import mountmast.protocol.HoldId
+import mountmast.protocol.Revision
+import mountmast.protocol.Stamp
+import mountmast.protocol.WireJson
+import mountmast.transport.HttpCaller
+import mountmast.transport.NoAnswer
+import mountmast.transport.Reply
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+
+/** The state service over HTTP. This node's share of its two rates is kept here, before anything is sent. */
+class HttpStateStore(
+    private val at: InetSocketAddress,
+    private val rps: Double,
+    private val writeRps: Double,
+    private val nodes: Int,
+    private val caller: HttpCaller = HttpCaller(),
+) : StateStore {
+    private val requests = RateLimiter.create(rps / nodes)
+    private val writes = RateLimiter.create(writeRps / nodes)
+
+    @Volatile
+    private var lastOkNanos = System.nanoTime()
+
+    @Volatile
+    private var lastOk = false
+
+    /** Whether this node gets answers from the state service. */
+    fun reachable(): Boolean = lastOk || System.nanoTime() - lastOkNanos < REACHED_NANOS
+
+    /** The leader writes more than the others; all nodes together stay within the rates. */
+    fun shareAs(leader: Boolean) {
+        val share = when {
+            nodes == 1 -> 1.0
+            leader -> LEADER_SHARE
+            else -> (1 - LEADER_SHARE) / (nodes - 1)
+        }
+        requests.rate = rps * share * CAUTION
+        writes.rate = writeRps * share * CAUTION
+    }
+
+    override fun get(key: String): Entry? {
+        val reply = call("GET", "/store/$key", null)
+        return when (reply.status) {
+            200 -> decode<EntryBody>(reply).toEntry()
+            404 -> null
+            else -> throw refused(reply)
+        }
+    }
+
+    override fun list(prefix: String, after: String?, limit: Int): EntryPage {
+        val from = after?.let { "&from=$it" } ?: ""
+        val reply = call("GET", "/store?starts=$prefix$from&page=$limit", null)
+        if (!reply.ok) throw refused(reply)
+        val page = decode<PageBody>(reply)
+        return EntryPage(page.items.map { it.toEntry() }, page.more, page.revision)
+    }
+
+    override fun commit(transaction: Transaction): CommitOutcome {
+        take(writes, transaction.writes.size)
+        val body = CommitBody(
+            transaction.conditions.map { ConditionBody(it.key, it.stamp) },
+            transaction.writes.map { write ->
+                when (write) {
+                    is Write.Put -> WriteBody(put = write.key, value = write.value, hold = write.hold)
+                    is Write.Delete -> WriteBody(delete = write.key)
+                }
+            },
+        )
+        val reply = call("POST", "/commit", WireJson.encodeToString(body))
+        return when {
+            reply.ok -> CommitOutcome.Committed(decode<RevisionBody>(reply).revision)
+            reply.status == 409 -> CommitOutcome.Conflict(decode<ConflictBody>(reply).failed)
+            reply.status == 400 && "no such lease" in reply.text ->
+                throw HoldEnded(transaction.writes.firstNotNullOf { (it as? Write.Put)?.hold })
+            else -> throw refused(reply)
+        }
+    }
+
+    override fun grantHold(ttlMs: Long): HoldId {
+        val reply = call("POST", "/holds", WireJson.encodeToString(TtlBody(ttlMs)))
+        if (!reply.ok) throw refused(reply)
+        return decode<HoldBody>(reply).hold
+    }
+
+    override fun renewHold(hold: HoldId): Boolean {
+        val reply = call("POST", "/holds/$hold/renew", "")
+        return when (reply.status) {
+            200 -> true
+            404 -> false
+            else -> throw refused(reply)
+        }
+    }
+
+    override fun follow(prefix: String, from: Revision, waitMs: Long): FollowOutcome {
+        val reply = call("GET", "/follow?starts=$prefix&from=$from&waitMs=$waitMs", null, WAIT_MS + waitMs.toInt())
+        return when (reply.status) {
+            200 -> decode<FollowBody>(reply).let { body ->
+                FollowOutcome.Changes(body.news.map { it.toChange() }, body.revision)
+            }
+            410 -> FollowOutcome.TooOld
+            else -> throw refused(reply)
+        }
+    }
+
+    private fun call(method: String, path: String, body: String?, waitMs: Int = WAIT_MS): Reply {
+        take(requests, 1)
+        try {
+            val reply = caller.call(at, method, path, body?.encodeToByteArray(), waitMs)
+            // Above the rates the service answers 429: it is within reach.
+            lastOk = reply.status < 500
+            if (lastOk) lastOkNanos = System.nanoTime()
+            return reply
+        } catch (e: NoAnswer) {
+            lastOk = false
+            throw if (e.mayBeCarriedOut) StoreSilent("$path: ${e.message}") else StoreRefused("$path: ${e.message}")
+        }
+    }
+
+    private fun take(rate: RateLimiter, permits: Int) {
+        if (permits > 0 && !rate.tryAcquire(permits, RATE_WAIT_MS, TimeUnit.MILLISECONDS)) {
+            throw StoreRefused("over this node's share of the rate")
+        }
+    }
+
+    private fun refused(reply: Reply) = StoreRefused("status ${reply.status}")
+
+    private inline fun <reified T> decode(reply: Reply): T = try {
+        WireJson.decodeFromString<T>(reply.text)
+    } catch (e: SerializationException) {
+        throw StoreSilent("malformed answer: ${e.message}")
+    }
+
+    @Serializable
+    private class EntryBody(
+        @SerialName("path") val key: String,
+        @SerialName("data") val value: JsonElement,
+        @SerialName("stamp") val stamp: Stamp,
+    ) {
+        fun toEntry() = Entry(key, value, stamp)
+    }
+
+    @Serializable
+    private class PageBody(
+        @SerialName("items") val items: List<EntryBody>,
+        @SerialName("truncated") val more: Boolean = false,
+        @SerialName("ledger") val revision: Revision,
+    )
+
+    @Serializable
+    private class ConditionBody(@SerialName("path") val key: String, @SerialName("stamp") val stamp: Stamp)
+
+    @Serializable
+    private class WriteBody(
+        @SerialName("write") val put: String? = null,
+        @SerialName("data") val value: JsonElement? = null,
+        @SerialName("hold") val hold: HoldId? = null,
+        @SerialName("delete") val delete: String? = null,
+    )
+
+    @Serializable
+    private class CommitBody(
+        @SerialName("if") val conditions: List<ConditionBody>,
+        @SerialName("writes") val writes: List<WriteBody>,
+    )
+
+    @Serializable
+    private class RevisionBody(@SerialName("ledger") val revision: Revision)
+
+    @Serializable
+    private class ConflictBody(@SerialName("failed") val failed: List<String>)
+
+    @Serializable
+    private class TtlBody(@SerialName("ttlMs") val ttlMs: Long)
+
+    @Serializable
+    private class HoldBody(@SerialName("hold") val hold: HoldId)
+
+    @Serializable
+    private class FollowBody(
+        @SerialName("ledger") val revision: Revision,
+        @SerialName("news") val news: List<ChangeBody> = emptyList(),
+    )
+
+    @Serializable
+    private class ChangeBody(
+        @SerialName("write") val put: String? = null,
+        @SerialName("data") val value: JsonElement? = null,
+        @SerialName("delete") val delete: String? = null,
+        @SerialName("stamp") val stamp: Stamp,
+    ) {
+        fun toChange() = Change(put ?: delete.orEmpty(), if (put != null) value else null, stamp)
+    }
+
+    private companion object {
+        const val WAIT_MS = 1500
+        const val REACHED_NANOS = 2_500_000_000L
+        const val RATE_WAIT_MS = 300L
+        const val LEADER_SHARE = 0.6
+
+        /** Kept below the rates: clocks drift, and a change of leader overlaps two shares. */
+        const val CAUTION = 0.9
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mountmast/storage/StateStore.kt
@@ -0,0 +1,85 @@
+package mountmast.storage
+
+import kotlinx.serialization.json.JsonElement
+import mountmast.protocol.HoldId
+import mountmast.protocol.Revision
+import mountmast.protocol.Stamp
+
+/** The state service did not carry out what was asked. */
+open class StoreTrouble(message: String) : Exception(message)
+
+/** It refused: nothing was executed, nor will be. */
+class StoreRefused(message: String) : StoreTrouble(message)
+
+/** It was silent: the request may have been executed, or still be executed later. */
+class StoreSilent(message: String) : StoreTrouble(message)
+
+/** The hold that was named has ended. */
+class HoldEnded(hold: HoldId) : StoreTrouble("hold $hold has ended")
+
+/** A key with its value. */
+data class Entry(val key: String, val value: JsonElement, val stamp: Stamp)
+
+/** Some of the keys with a prefix, in key order. */
+data class EntryPage(val entries: List<Entry>, val more: Boolean, val revision: Revision)
+
+/** A key must have this version for a transaction to be carried out. */
+data class Condition(val key: String, val stamp: Stamp)
+
+/** A change of one key. */
+sealed interface Write {
+    val key: String
+
+    data class Put(override val key: String, val value: JsonElement, val hold: HoldId? = null) : Write
+    data class Delete(override val key: String) : Write
+}
+
+/** Changes that are made all together or not at all. */
+data class Transaction(val conditions: List<Condition>, val writes: List<Write>)
+
+/** What became of a transaction. */
+sealed interface CommitOutcome {
+    data class Committed(val revision: Revision) : CommitOutcome
+    data class Conflict(val failed: List<String>) : CommitOutcome
+}
+
+/** A change seen by following a prefix; [value] is null where the key was deleted. */
+data class Change(val key: String, val value: JsonElement?, val stamp: Stamp)
+
+/** What following a prefix got. */
+sealed interface FollowOutcome {
+    data class Changes(val changes: List<Change>, val upTo: Revision) : FollowOutcome
+
+    /** The revision is too old: the keys must be read again. */
+    data object TooOld : FollowOutcome
+}
+
+/** The small consistent store in which all lasting state is kept. Every call throws [StoreTrouble] where it fails. */
+interface StateStore {
+    /** The entry, or null where the key does not exist. */
+    fun get(key: String): Entry?
+    fun list(prefix: String, after: String? = null, limit: Int = MOST_PER_PAGE): EntryPage
+    fun commit(transaction: Transaction): CommitOutcome
+    fun grantHold(ttlMs: Long): HoldId
+
+    /** False where the hold has ended. */
+    fun renewHold(hold: HoldId): Boolean
+    fun follow(prefix: String, from: Revision, waitMs: Long): FollowOutcome
+
+    /** Every entry with [prefix], and the revision from which following sees all later changes. */
+    fun listAll(prefix: String): Pair<List<Entry>, Revision> {
+        val entries = ArrayList<Entry>()
+        // The oldest page's revision: changes between two pages are then seen again rather than missed.
+        var from: Revision? = null
+        while (true) {
+            val page = list(prefix, entries.lastOrNull()?.key)
+            from = from ?: page.revision
+            entries += page.entries
+            if (!page.more || page.entries.isEmpty()) return entries to from
+        }
+    }
+
+    companion object {
+        const val MOST_PER_PAGE = 500
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mountmast/transport/Api.kt
@@ -0,0 +1,38 @@
+package mountmast.transport
+
+import mountmast.protocol.BeatAnswer
+import mountmast.protocol.NodeId
+import mountmast.protocol.PeerHello
+import mountmast.protocol.WorkerReport
+
+/** An answer to a user, as plain as HTTP needs it. */
+data class UserAnswer(val status: Int, val body: String, val retryAfterS: Int = 0)
+
+/** What users may ask of a node. */
+interface UserService {
+    fun submit(body: String, relayed: Boolean): UserAnswer
+    fun status(id: String, relayed: Boolean): UserAnswer
+    fun cancel(id: String, relayed: Boolean): UserAnswer
+
+    /** Whether the load balancer should send users here. */
+    fun ready(): Boolean
+}
+
+/** What a worker's report gets. */
+sealed interface BeatOutcome {
+    /** This node acts for the controllers. */
+    data class Accepted(val answer: BeatAnswer) : BeatOutcome
+
+    /** Another node does; null where none is known. */
+    data class Elsewhere(val node: NodeId?) : BeatOutcome
+}
+
+/** Takes workers' reports. */
+fun interface BeatService {
+    fun beat(report: WorkerReport): BeatOutcome
+}
+
+/** Takes the greetings of other nodes and answers with this node's own. */
+fun interface PeerService {
+    fun hello(from: PeerHello): PeerHello
+}
--- /dev/null
+++ b/src/main/kotlin/mountmast/transport/HttpCaller.kt
@@ -0,0 +1,61 @@
+package mountmast.transport
+
+import java.io.IOException
+import java.net.ConnectException
+import java.net.HttpURLConnection
+import java.net.InetSocketAddress
+import java.net.NoRouteToHostException
+import java.net.URI
+
+/** No answer came. [mayBeCarriedOut] is false only where the request certainly never left this node. */
+class NoAnswer(message: String, val mayBeCarriedOut: Boolean) : IOException(message)
+
+/** Status and body of an answer. */
+class Reply(val status: Int, val bytes: ByteArray) {
+    val text: String get() = bytes.decodeToString()
+    val ok: Boolean get() = status == HttpURLConnection.HTTP_OK
+}
+
+/**
+ * Calls another host and waits for its answer, with a deadline.
+ *
+ * http4k's own clients fold a refused connection and a silent server into a status; what may have been
+ * carried out has to be told apart from what was not, so this uses the JDK's client directly.
+ */
+class HttpCaller(private val connectMs: Int = 1000) {
+    fun call(
+        to: InetSocketAddress, method: String, path: String, body: ByteArray?, waitMs: Int,
+        contentType: String = "application/json",
+    ): Reply {
+        val url = URI.create("http://${to.hostString}:${to.port}$path").toURL()
+        val connection = url.openConnection() as HttpURLConnection
+        connection.requestMethod = method
+        connection.connectTimeout = minOf(connectMs, waitMs)
+        connection.readTimeout = waitMs
+        connection.useCaches = false
+        connection.instanceFollowRedirects = false
+        try {
+            if (body != null) {
+                connection.doOutput = true
+                connection.setRequestProperty("Content-Type", contentType)
+                connection.setFixedLengthStreamingMode(body.size)
+            }
+            try {
+                connection.connect()
+            } catch (e: IOException) {
+                throw NoAnswer("$to: ${e.message}", mayBeCarriedOut = false)
+            }
+            if (body != null) connection.outputStream.use { it.write(body) }
+            val status = connection.responseCode
+            val stream = if (status >= HttpURLConnection.HTTP_BAD_REQUEST) connection.errorStream else connection.inputStream
+            val bytes = stream?.use { it.readBytes() } ?: ByteArray(0)
+            return Reply(status, bytes)
+        } catch (e: NoAnswer) {
+            throw e
+        } catch (e: IOException) {
+            connection.disconnect()
+            val never = e is ConnectException || e is NoRouteToHostException
+            throw NoAnswer("$to: ${e.message}", mayBeCarriedOut = !never)
+        }
+    }
+}
