A cut-off leader called every machine dead and returned them all on reconnecting

Its ledger saw 48 workers fall silent, and when the cut ended its fleet step deleted all of them before the renewal told it that another node leads. Change: silence proves an expired lease only as far as a successful renewal proves that nobody else led; renting and returning need a renewal of the last 2.5 s; a leader that hardly any worker reaches resigns.

--- a/src/main/kotlin/mountmast/coordination/Leadership.kt
+++ b/src/main/kotlin/mountmast/coordination/Leadership.kt
@@ -74,6 +74,7 @@
     private var leader: NodeId? = null
     private var highest = Term(0u)
     private var doubted = false
+    private var abstainUntil = Moment(Long.MIN_VALUE)
     private var spareHold: HoldId? = null
 
     fun mandate(): Mandate? = lock.withLock { mandate }
@@ -88,6 +89,27 @@
         mandate != null && clock.now() - confirmedAt < timing.ttlMs + timing.graceMs
     }
 
+    /**
+     * Until when it is certain that nobody else led: a renewal that succeeded proves it for all time before it was
+     * asked. Null once this node leads no more.
+     */
+    fun confirmedUntil(own: Mandate): Moment? = lock.withLock { if (mandate === own) confirmedAt else null }
+
+    /** Gives the lead up, for another node to take; abstains for a while. */
+    fun resign(own: Mandate, why: String) {
+        lock.withLock {
+            if (mandate !== own) return
+            log.info("resigning in term {}: {}", own.term, why)
+            lost()
+            abstainUntil = clock.now() + ABSTAIN_MS
+        }
+        try {
+            store.dropHold(own.hold)
+        } catch (e: StoreTrouble) {
+            log.debug("the hold will run out by itself: {}", e.message)
+        }
+    }
+
     /** Somebody saw [term]. A higher one than ours means another leader, unless the store says otherwise. */
     fun heard(term: Term) {
         lock.withLock {
@@ -146,7 +168,7 @@
             lock.withLock { leader = record.node }
             return
         }
-        elect(entry?.stamp ?: Stamp.ABSENT)
+        if (clock.now() >= abstainUntil) elect(entry?.stamp ?: Stamp.ABSENT)
     }
 
     private fun elect(stamp: Stamp) {
@@ -185,6 +207,10 @@
         log.info("leading in term {}", term)
     }
 
+    private companion object {
+        const val ABSTAIN_MS = 20_000L
+    }
+
     private fun decode(value: kotlinx.serialization.json.JsonElement): LeaderRecord? = try {
         WireJson.decodeFromJsonElement<LeaderRecord>(value)
     } catch (e: SerializationException) {
--- a/src/main/kotlin/mountmast/coordination/Node.kt
+++ b/src/main/kotlin/mountmast/coordination/Node.kt
@@ -57,10 +57,10 @@
         servers += peerRoutes(desk, this).asServer(BoundedServer(settings.peerListen, "peer", PEER_THREADS, SERVE_WAITING)).start()
         loop("leadership") { lead(); LEADERSHIP_MS }
         loop("greeter") { greet(); GREET_MS }
-        loop("pass") { withOffice({ it.reign.ready }) { it.reign.pass(); it.reign.expireSilent(); it.reign.awaitPlacement(policy.passMs); PASS_GAP_MS } }
+        loop("pass") { withOffice({ it.reign.ready }) { it.reign.pass(); expire(it.reign); it.reign.awaitPlacement(policy.passMs); PASS_GAP_MS } }
         loop("writer") { withOffice({ it.reign.ready }) { write(it) } }
         loop("follow") { withOffice({ it.reign.ready }) { follow(it) } }
-        loop("fleet") { withOffice({ it.reign.ready }) { it.fleet.step(); FLEET_MS } }
+        loop("fleet") { withOffice({ it.reign.ready }) { stepFleet(it) } }
         repeat(POSTERS) { loop("poster-$it") { withOffice({ it.reign.ready }) { o -> if (o.reign.postNext(POST_WAIT_MS)) 0 else POST_GAP_MS } } }
         log.info("{} serves on {}", settings.node, settings.serveOn)
     }
@@ -91,6 +91,11 @@
 
     private fun lead() {
         leadership.step()
+        val reign = office.get()?.reign
+        // Cut off from the workers alone, this node would renew for ever while every worker's lease runs out.
+        if (reign != null && reign.deafToWorkers() && freshHellos().any { it.reachesState }) {
+            leadership.resign(reign.mandate, "hardly any worker gets through to this node")
+        }
         syncOffice()
         try {
             if (!desk.knowsTypes || typesAge++ >= TYPES_STEPS) {
@@ -148,6 +153,17 @@
         FAILED_MS
     }
 
+    private fun expire(reign: Reign) {
+        leadership.confirmedUntil(reign.mandate)?.let { reign.expireSilent(it) }
+    }
+
+    /** Renting and returning cannot be taken back, so only a leader that was confirmed just now does either. */
+    private fun stepFleet(office: Office): Long {
+        val confirmed = leadership.confirmedUntil(office.reign.mandate)
+        if (confirmed != null && clock.now() - confirmed < CONFIRMED_MS) office.fleet.step()
+        return FLEET_MS
+    }
+
     override fun beat(report: WorkerReport): BeatOutcome {
         leadership.heard(report.term)
         val mandate = leadership.mandate() ?: return BeatOutcome.Elsewhere(leadership.leader())
@@ -201,6 +217,7 @@
         const val WRITE_IDLE_MS = 500L
         const val FOLLOW_MS = 10_000L
         const val FOLLOW_GAP_MS = 150L
+        const val CONFIRMED_MS = 2500L
         const val FLEET_MS = 1000L
         const val POST_WAIT_MS = 1000L
         const val POST_GAP_MS = 50L
--- a/src/main/kotlin/mountmast/coordination/Reign.kt
+++ b/src/main/kotlin/mountmast/coordination/Reign.kt
@@ -279,15 +279,18 @@
         }
     }
 
-    /** Calls dead the workers whose lease has provably run out. */
-    fun expireSilent() = lock.withLock {
+    /**
+     * Calls dead the workers whose lease has provably run out. A leader that was cut off knows nothing of what its
+     * successor answered: silence counts only as far as it is certain that nobody else led, [ledUntil].
+     */
+    fun expireSilent(ledUntil: Moment) = lock.withLock {
         if (!ready) return
         val now = clock.now()
         for (machine in ledger.machines.values.toList()) {
             if (machine.state != MachineState.UP && machine.state != MachineState.SILENT) continue
-            if (now - machine.answeredAt < timing.leaseOverMs) continue
+            if (ledUntil - machine.answeredAt < timing.leaseOverMs) continue
             // Until the worker has shown our token, the leader before us may have answered it during its grace.
-            if (!machine.sawTerm && now - readyAt < timing.formerLeaderMs + timing.leaseOverMs) continue
+            if (!machine.sawTerm && ledUntil - readyAt < timing.formerLeaderMs + timing.leaseOverMs) continue
             log.info("machine {} silent: its lease is over, {} tasks lost", machine.id, machine.live.size)
             ledger.endSession(machine, null, now)
             machine.state = MachineState.EXPIRED
@@ -295,6 +298,14 @@
         }
     }
 
+    /** Whether hardly any worker gets through to this node, although there are some. */
+    fun deafToWorkers(): Boolean = lock.withLock {
+        val now = clock.now()
+        val up = ledger.machines.values.filter { it.state == MachineState.UP && !it.deleting }
+        if (!ready || now - readyAt < DEAF_MS || up.size < LEAST_FOR_DEAF) return false
+        up.count { now - it.heardAt < DEAF_MS } * 2 < up.size
+    }
+
     /** One pass of the scheduler. */
     fun pass() = lock.withLock {
         if (!ready) return
@@ -447,6 +458,8 @@
         const val LEAST_REMAINING = 0.1
         const val STALL_MS = 30_000L
         const val STALL_REPEAT_MS = 60_000L
+        const val DEAF_MS = 6000L
+        const val LEAST_FOR_DEAF = 3
         const val REMEMBERED = 1000
     }
 }
--- a/src/main/kotlin/mountmast/storage/HttpStateStore.kt
+++ b/src/main/kotlin/mountmast/storage/HttpStateStore.kt
@@ -101,6 +101,10 @@
         }
     }
 
+    override fun dropHold(hold: HoldId) {
+        call("DELETE", "/holds/$hold", null)
+    }
+
     override fun follow(prefix: String, from: Revision, waitMs: Long): FollowOutcome {
         val reply = call("GET", "/follow?starts=$prefix&from=$from&waitMs=$waitMs", null, WAIT_MS + waitMs.toInt())
         return when (reply.status) {
--- a/src/main/kotlin/mountmast/storage/StateStore.kt
+++ b/src/main/kotlin/mountmast/storage/StateStore.kt
@@ -64,6 +64,7 @@
 
     /** False where the hold has ended. */
     fun renewHold(hold: HoldId): Boolean
+    fun dropHold(hold: HoldId)
     fun follow(prefix: String, from: Revision, waitMs: Long): FollowOutcome
 
     /** Every entry with [prefix], and the revision from which following sees all later changes. */
