--- a/src/main/kotlin/mountmast/Main.kt
+++ b/src/main/kotlin/mountmast/Main.kt
@@ -1,5 +1,6 @@
 package mountmast
 
+import mountmast.coordination.Controller
 import mountmast.coordination.FleetPolicy
 import mountmast.coordination.Node
 import mountmast.coordination.Policy
@@ -33,7 +34,7 @@
     CountDownLatch(1).await()
 }
 
-internal fun start(settings: Settings): Node {
+internal fun start(settings: Settings) {
     // The JDK's client would otherwise send a request again by itself, and its server delay small answers.
     System.setProperty("sun.net.http.retryPost", "false")
     System.setProperty("sun.net.httpserver.nodelay", "true")
@@ -42,12 +43,12 @@
     val run = SecureRandom().nextLong().toULong().toString(36)
     val store = HttpStateStore(settings.state, settings.stateRps, settings.stateWriteRps, settings.nodes)
     store.shareAs(leader = false)
-    val node = Node(
-        settings, Policy(), FleetPolicy(), store, HttpCloud(settings.cloud, settings.cloudRps), HttpWorkers(), HttpPeers(),
+    val policy = Policy()
+    val controller = Controller(
+        settings, policy, FleetPolicy(), store, HttpCloud(settings.cloud, settings.cloudRps), HttpWorkers(), HttpPeers(),
         SystemClock, run,
     )
-    node.start()
-    return node
+    Node(settings, policy, controller).start()
 }
 
 private fun configureLogging(level: String?) {
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/Controller.kt
@@ -0,0 +1,185 @@
+package mountmast.coordination
+
+import mountmast.protocol.Clock
+import mountmast.protocol.NodeId
+import mountmast.protocol.PeerHello
+import mountmast.protocol.RelayRequest
+import mountmast.protocol.Settings
+import mountmast.protocol.Term
+import mountmast.protocol.WorkerReport
+import mountmast.storage.ChunkRecord
+import mountmast.storage.StateStore
+import mountmast.storage.StoreTrouble
+import mountmast.transport.BeatOutcome
+import mountmast.transport.BeatService
+import mountmast.transport.Cloud
+import mountmast.transport.PeerService
+import mountmast.transport.Peers
+import mountmast.transport.UserAnswer
+import mountmast.transport.UserService
+import mountmast.transport.Workers
+import org.slf4j.LoggerFactory
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicReference
+
+private val log = LoggerFactory.getLogger("mountmast.controller")
+
+/**
+ * All that one controller node does, as steps that somebody else calls: [Node] from threads, tests in virtual time.
+ * Each step returns after at most one exchange with each of the systems around it.
+ */
+class Controller(
+    private val settings: Settings,
+    private val policy: Policy,
+    private val fleetPolicy: FleetPolicy,
+    private val store: StateStore,
+    private val cloud: Cloud,
+    private val workers: Workers,
+    private val peers: Peers,
+    private val clock: Clock,
+    /** Drawn at each start, so that no two processes are ever taken for one another. */
+    private val run: String,
+) : BeatService, PeerService {
+    private val timing = Timing.of(settings.leaseS, settings.cancelS)
+    private val leadership = Leadership(store, settings.node, run, timing, clock)
+    private val desk = JobDesk(store, settings.teams, clock, ::relay, ::ready)
+
+    /** What users may ask of this node. */
+    val users: UserService get() = desk
+
+    private class Office(val reign: Reign, val writer: LedgerWriter, val fleet: Fleet)
+
+    private val office = AtomicReference<Office?>()
+    private val hellos = ConcurrentHashMap<NodeId, Pair<PeerHello, Long>>()
+    private var stepsSinceTypes = 0
+
+    /** The reign to work in, or null while this node does not lead. */
+    fun reign(): Reign? = office.get()?.reign?.takeIf { it.ready }
+
+    /** Renews, follows or tries to lead; about once a second. */
+    fun lead() {
+        leadership.step()
+        val reign = office.get()?.reign
+        // Cut off from the workers alone, this node would renew for ever while every worker's lease runs out.
+        if (reign != null && reign.deafToWorkers() && freshHellos().any { it.reachesState }) {
+            leadership.resign(reign.mandate, "hardly any worker gets through to this node")
+        }
+        syncOffice()
+        try {
+            if (!desk.knowsTypes || stepsSinceTypes++ >= TYPES_STEPS) {
+                desk.refreshTypes()
+                stepsSinceTypes = 0
+            }
+        } catch (e: StoreTrouble) {
+            log.debug("machine types: {}", e.message)
+        }
+    }
+
+    private fun syncOffice() {
+        val mandate = leadership.mandate()
+        val current = office.get()
+        if (mandate == null) {
+            if (current != null) {
+                office.set(null)
+                store.shareAs(leader = false)
+            }
+            return
+        }
+        if (current?.reign?.mandate === mandate) {
+            if (!current.reign.ready) load(current.reign)
+            return
+        }
+        store.shareAs(leader = true)
+        val reign = Reign(
+            mandate, store, workers, settings.teams, policy, timing, clock, ChunkRecord.tasksPerChunk(settings.valueKb),
+        )
+        val writer = LedgerWriter(reign, store, settings.txnOps, clock) { leadership.lost() }
+        val fleet = Fleet(reign, cloud, clock, "${settings.node}-$run-${mandate.term}", fleetPolicy)
+        office.set(Office(reign, writer, fleet))
+        load(reign)
+    }
+
+    private fun load(reign: Reign) = try {
+        reign.load()
+    } catch (e: StoreTrouble) {
+        log.debug("loading: {}", e.message)
+    }
+
+    /** One pass of the scheduler. */
+    fun pass() {
+        val reign = reign() ?: return
+        reign.pass()
+        leadership.confirmedUntil(reign.mandate)?.let { reign.expireSilent(it) }
+    }
+
+    /** Writes what the ledger changed; false where there was nothing to write. */
+    fun write(): Boolean = office.get()?.takeIf { it.reign.ready }?.writer?.step() ?: false
+
+    /** Learns of new and cancelled jobs; false where the state service did not tell. */
+    fun follow(waitMs: Long): Boolean {
+        val reign = reign() ?: return false
+        return try {
+            reign.followJobs(waitMs)
+            true
+        } catch (e: StoreTrouble) {
+            log.debug("following jobs: {}", e.message)
+            false
+        }
+    }
+
+    /** Renting and returning cannot be taken back, so only a leader that was confirmed just now does either. */
+    fun manageFleet() {
+        val current = office.get()?.takeIf { it.reign.ready } ?: return
+        val confirmed = leadership.confirmedUntil(current.reign.mandate) ?: return
+        if (clock.now() - confirmed < CONFIRMED_MS) current.fleet.step()
+    }
+
+    /** Sends commands to one worker; false where there were none to send. */
+    fun post(waitMs: Long): Boolean = reign()?.postNext(waitMs) ?: false
+
+    override fun beat(report: WorkerReport): BeatOutcome {
+        leadership.heard(report.term)
+        val mandate = leadership.mandate() ?: return BeatOutcome.Elsewhere(leadership.leader())
+        val reign = office.get()?.reign
+        if (!leadership.mayAnswerWorkers() || report.term > mandate.term) return BeatOutcome.Elsewhere(null)
+        if (reign == null || reign.mandate !== mandate) return BeatOutcome.Elsewhere(null)
+        return BeatOutcome.Accepted(reign.beat(report))
+    }
+
+    /** Greets the other nodes. */
+    fun greet() {
+        for (member in settings.members) peers.hello(member, ownHello())?.let(::note)
+    }
+
+    override fun hello(from: PeerHello): PeerHello {
+        note(from)
+        return ownHello()
+    }
+
+    private fun note(hello: PeerHello) {
+        hellos[NodeId(hello.node)] = hello to clock.now().ms
+        leadership.heard(Term(hello.term.toULong()))
+    }
+
+    private fun ownHello() = PeerHello(
+        settings.node.text, leadership.highestTerm().number.toLong(), store.reachable, leadership.mandate() != null,
+    )
+
+    private fun freshHellos() = hellos.values.filter { (_, at) -> clock.now().ms - at < HELLO_FRESH_MS }.map { it.first }
+
+    private fun relay(request: RelayRequest): UserAnswer? {
+        val able = freshHellos().firstOrNull { it.reachesState } ?: return null
+        val member = settings.members.firstOrNull { it.node.text == able.node } ?: return null
+        val answer = peers.relay(member, request) ?: return null
+        return UserAnswer(answer.status, answer.body, answer.retryAfterS)
+    }
+
+    /** Users are sent elsewhere only if some other node can serve what this one cannot. */
+    private fun ready(): Boolean = desk.knowsTypes && (store.reachable || freshHellos().none { it.reachesState })
+
+    private companion object {
+        const val CONFIRMED_MS = 2500L
+        const val HELLO_FRESH_MS = 6000L
+        const val TYPES_STEPS = 30
+    }
+}
--- a/src/main/kotlin/mountmast/coordination/Ledger.kt
+++ b/src/main/kotlin/mountmast/coordination/Ledger.kt
@@ -166,8 +166,9 @@
     var session: Session? = null
     var tally = Tally(0u)
 
-    /** When a report of this machine was last answered or commands were last executed. */
     var heardAt = Moment(0)
+
+    /** When a report was last answered, or the session became known: its lease runs from then at the latest. */
     var answeredAt = Moment(0)
     var rentedAt = Moment(0)
 
@@ -385,6 +386,8 @@
             endSession(machine, report.session, now)
             machine.mayStillStart.clear()
             machine.session = report.session
+            // A session that nobody answered yet lives a full lease from its beginning, which may have been just now.
+            machine.answeredAt = now
         }
         if (machine.state != MachineState.UP) {
             machine.state = MachineState.UP
--- a/src/main/kotlin/mountmast/storage/HttpStateStore.kt
+++ b/src/main/kotlin/mountmast/storage/HttpStateStore.kt
@@ -34,11 +34,11 @@
     @Volatile
     private var lastOk = false
 
-    /** Whether this node gets answers from the state service. */
-    fun reachable(): Boolean = lastOk || System.nanoTime() - lastOkNanos < REACHED_NANOS
+    override val reachable: Boolean
+        get() = lastOk || System.nanoTime() - lastOkNanos < REACHED_NANOS
 
     /** The leader writes more than the others; all nodes together stay within the rates. */
-    fun shareAs(leader: Boolean) {
+    override fun shareAs(leader: Boolean) {
         val share = when {
             nodes == 1 -> 1.0
             leader -> LEADER_SHARE
--- a/src/main/kotlin/mountmast/storage/StateStore.kt
+++ b/src/main/kotlin/mountmast/storage/StateStore.kt
@@ -56,6 +56,12 @@
 
 /** The small consistent store in which all lasting state is kept. Every call throws [StoreTrouble] where it fails. */
 interface StateStore {
+    /** Whether this node gets answers from the state service. */
+    val reachable: Boolean
+
+    /** Tells how large this node's share of the rates is to be. */
+    fun shareAs(leader: Boolean)
+
     /** The entry, or null where the key does not exist. */
     fun get(key: String): Entry?
     fun list(prefix: String, after: String? = null, limit: Int = MOST_PER_PAGE): EntryPage
--- /dev/null
+++ b/src/test/kotlin/mountmast/coordination/RulesUnderFailureTest.kt
@@ -0,0 +1,36 @@
+package mountmast.coordination
+
+import mountmast.standin.World
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Random days in virtual time. A failing seed is printed; run it again with `-Dmountmast.seed=N`. */
+class RulesUnderFailureTest {
+    private fun seeds(count: Int): LongRange =
+        System.getProperty("mountmast.seed")?.toLong()?.let { it..it } ?: 1L..count
+
+    private fun day(seed: Long, quiet: Boolean, failures: Int) {
+        val world = World(seed, quiet)
+        try {
+            world.run(20_000, busy = true)
+            repeat(failures) {
+                world.fail()
+                world.run(world.random.nextLong(2000, 20_000), busy = true)
+            }
+            world.run(200_000, busy = false)
+            world.jobs.keys.forEach { world.poll(it) }
+            assertTrue(world.rules.started > 0, "nothing_ran")
+            assertEquals(emptyList<Any>(), world.unfinished().filter { world.poll(it)?.isFinal != true }, "jobs that never got done")
+            assertTrue(world.store.largestValue < 2 * 1024, "a value of ${world.store.largestValue} bytes")
+        } catch (e: Throwable) {
+            throw AssertionError("seed $seed at ${world.time.now} ms: ${e.message}", e)
+        }
+    }
+
+    @Test
+    fun `a quiet day keeps the rules and gets all work done`() = seeds(10).forEach { day(it, quiet = true, failures = 0) }
+
+    @Test
+    fun `failures of every kind, alone and together, break no rule`() = seeds(60).forEach { day(it, quiet = false, failures = 12) }
+}
--- /dev/null
+++ b/src/test/kotlin/mountmast/standin/Rules.kt
@@ -0,0 +1,97 @@
+package mountmast.standin
+
+import mountmast.protocol.JobId
+import mountmast.protocol.JobSpec
+import mountmast.protocol.JobStatus
+import mountmast.protocol.MachineId
+import mountmast.protocol.Resources
+import mountmast.protocol.TaskId
+import mountmast.protocol.TeamId
+import mountmast.protocol.TeamQuota
+import mountmast.protocol.TypeId
+import mountmast.protocol.Zone
+
+/** A broken rule. */
+class RuleBroken(message: String) : AssertionError(message)
+
+/** Where a task runs, as the rules see it. */
+data class Place(val machine: MachineId, val type: TypeId, val zone: Zone, val spot: Boolean)
+
+/** PROTOCOL's rules, checked as things happen. */
+class Rules(private val teams: Map<TeamId, TeamQuota>, private val cancelMs: Long) {
+    private val submitted = HashMap<JobId, JobSpec>()
+    private val accepted = HashSet<JobId>()
+    private val cancelAsked = HashSet<JobId>()
+    private val told = HashMap<JobId, JobStatus>()
+    private val cancelToldAt = HashMap<JobId, Long>()
+    private val running = HashMap<TaskId, Place>()
+    private val completed = HashMap<JobId, HashSet<Int>>()
+    var started = 0
+        private set
+
+    fun submitting(spec: JobSpec) {
+        submitted[spec.id] = spec
+    }
+
+    fun cancelling(id: JobId) {
+        cancelAsked += id
+    }
+
+    /** An answer to a submission. */
+    fun submissionAnswered(id: JobId, status: Int) {
+        if (status == 200 || status == 201) accepted += id
+        if (id in accepted && (status == 400 || status == 422)) broken("forgotten", "$id got $status")
+    }
+
+    /** An answer to a poll, or to a cancellation where it names a state. */
+    fun statusAnswered(id: JobId, status: Int, state: JobStatus?, now: Long) {
+        if (status == 404 && id in accepted) broken("forgotten", "$id got 404")
+        if (status != 200 || state == null) return
+        if (id !in submitted) broken("invented", "$id")
+        accepted += id
+        if (state == JobStatus.DONE && completed[id].orEmpty().size < submitted.getValue(id).tasks) {
+            broken("not_done", "$id has ${completed[id].orEmpty().size} tasks done")
+        }
+        if (state == JobStatus.CANCELLED && id !in cancelAsked) broken("went_back", "$id was never cancelled")
+        val before = told[id]
+        if (before != null && before != state) broken("went_back", "$id was $before, now $state")
+        if (state.isFinal) told[id] = state
+        if (state == JobStatus.CANCELLED) cancelToldAt.putIfAbsent(id, now)
+    }
+
+    fun taskStarts(task: TaskId, place: Place, now: Long) {
+        started++
+        val spec = submitted.getValue(task.job)
+        running[task]?.let { if (it.machine != place.machine) broken("ran_twice", "$task on ${it.machine} and ${place.machine}") }
+        if (spec.types != null && place.type !in spec.types!!) broken("wrong_place", "$task on ${place.type}")
+        if (spec.zone != null && spec.zone != place.zone) broken("wrong_place", "$task in ${place.zone}")
+        if (place.spot && !spec.spotAllowed) broken("wrong_place", "$task on spot")
+        val others = running.filterKeys { it.job == task.job && it != task }.values
+        if (spec.oneZone && others.any { it.zone != place.zone }) broken("wrong_place", "$task apart from its job")
+        if (spec.spread && others.count { it.zone == place.zone } + 1 > spec.perZoneLimit) broken("wrong_place", "$task: too many in ${place.zone}")
+        running[task] = place
+        val use = running.keys.map { submitted.getValue(it.job) }.filter { it.team == spec.team }
+            .fold(Resources.NONE) { sum, job -> sum + job.perTask }
+        if (!teams.getValue(spec.team).limitAllows(use)) broken("quota", "${spec.team} uses $use")
+        checkCancelled(task, now)
+    }
+
+    fun taskGone(task: TaskId, place: MachineId, done: Boolean) {
+        if (running[task]?.machine == place) running -= task
+        if (done) completed.getOrPut(task.job) { HashSet() } += task.index
+    }
+
+    /** Called after each step. */
+    fun check(now: Long) {
+        for (task in running.keys) checkCancelled(task, now)
+    }
+
+    fun tellable(id: JobId) = told[id]
+
+    private fun checkCancelled(task: TaskId, now: Long) {
+        val at = cancelToldAt[task.job] ?: return
+        if (now - at > cancelMs) broken("ran_cancelled", "$task, ${now - at} ms after its cancellation")
+    }
+
+    private fun broken(rule: String, what: String): Nothing = throw RuleBroken("$rule: $what")
+}
--- /dev/null
+++ b/src/test/kotlin/mountmast/standin/RulesTest.kt
@@ -0,0 +1,79 @@
+package mountmast.standin
+
+import mountmast.protocol.JobStatus
+import mountmast.protocol.MachineId
+import mountmast.protocol.Shape
+import mountmast.protocol.TaskId
+import mountmast.protocol.TeamId
+import mountmast.protocol.TypeId
+import mountmast.protocol.Zone
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Each checker of a rule can fail. */
+class RulesTest {
+    private val world = World(1)
+    private val spec = world.job(1) {
+        it.copy(
+            team = TeamId("red"), shape = Shape.ARRAY, tasks = 6, cpus = 20.0, types = listOf(TypeId("l")), zone = null,
+            oneZone = false, spread = false, spotAllowed = false,
+        )
+    }
+    private val rules = Rules(world.teams, 1000).apply { submitting(spec) }
+    private val good = Place(MachineId("vm-1"), TypeId("l"), Zone("a"), spot = false)
+
+    private fun breaks(rule: String, act: () -> Unit) {
+        val broken = assertThrows(RuleBroken::class.java, act)
+        assertTrue(broken.message!!.startsWith(rule), broken.message)
+    }
+
+    @Test
+    fun `a task on two machines`() {
+        rules.taskStarts(TaskId(spec.id, 0), good, 0)
+        breaks("ran_twice") { rules.taskStarts(TaskId(spec.id, 0), good.copy(machine = MachineId("vm-2")), 0) }
+    }
+
+    @Test
+    fun `more than the limit`() {
+        repeat(2) { rules.taskStarts(TaskId(spec.id, it), good, 0) }
+        breaks("quota") { rules.taskStarts(TaskId(spec.id, 2), good, 0) }
+    }
+
+    @Test
+    fun `the wrong type, kind or zone`() {
+        breaks("wrong_place") { rules.taskStarts(TaskId(spec.id, 0), good.copy(type = TypeId("s")), 0) }
+        breaks("wrong_place") { rules.taskStarts(TaskId(spec.id, 0), good.copy(spot = true), 0) }
+        val together = spec.copy(oneZone = true, cpus = 1.0).also(rules::submitting)
+        rules.taskStarts(TaskId(together.id, 0), good, 0)
+        breaks("wrong_place") { rules.taskStarts(TaskId(together.id, 1), good.copy(zone = Zone("b")), 0) }
+    }
+
+    @Test
+    fun `too many in one zone`() {
+        val spread = spec.copy(spread = true, cpus = 1.0).also(rules::submitting)
+        repeat(3) { rules.taskStarts(TaskId(spread.id, it), good, 0) }
+        breaks("wrong_place") { rules.taskStarts(TaskId(spread.id, 3), good, 0) }
+    }
+
+    @Test
+    fun `a task of a cancelled job`() {
+        rules.taskStarts(TaskId(spec.id, 0), good, 0)
+        rules.cancelling(spec.id)
+        rules.statusAnswered(spec.id, 200, JobStatus.CANCELLED, 0)
+        rules.check(1000)
+        breaks("ran_cancelled") { rules.check(1001) }
+    }
+
+    @Test
+    fun `what users are told`() {
+        breaks("invented") { rules.statusAnswered(world.job(2).id, 200, JobStatus.PENDING, 0) }
+        breaks("not_done") { rules.statusAnswered(spec.id, 200, JobStatus.DONE, 0) }
+        breaks("went_back") { rules.statusAnswered(spec.id, 200, JobStatus.CANCELLED, 0) }
+        rules.cancelling(spec.id)
+        rules.statusAnswered(spec.id, 200, JobStatus.CANCELLED, 0)
+        breaks("went_back") { rules.statusAnswered(spec.id, 200, JobStatus.RUNNING, 0) }
+        breaks("forgotten") { rules.statusAnswered(spec.id, 404, null, 0) }
+        breaks("forgotten") { rules.submissionAnswered(spec.id, 422) }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/mountmast/standin/StandInCloud.kt
@@ -0,0 +1,90 @@
+package mountmast.standin
+
+import mountmast.protocol.ListedMachine
+import mountmast.protocol.ListedState
+import mountmast.protocol.MachineId
+import mountmast.protocol.MachinePage
+import mountmast.protocol.MachineType
+import mountmast.protocol.RentalId
+import mountmast.protocol.RentalRequest
+import mountmast.transport.Cloud
+import mountmast.transport.CloudTrouble
+import mountmast.transport.RentalOutcome
+import kotlin.random.Random
+
+/** The cloud in virtual time. */
+class StandInCloud(
+    private val time: VirtualTime,
+    private val random: Random,
+    private val types: List<MachineType>,
+    private val perOffer: Int,
+    private val newWorker: (MachineId, RentalRequest) -> StandInWorker,
+) {
+    private class Rented(val request: RentalRequest, val at: Long, val upAt: Long) {
+        var worker: StandInWorker? = null
+    }
+
+    private val machines = LinkedHashMap<MachineId, Rented>()
+    private val answers = HashMap<RentalId, List<MachineId>>()
+    private var lists = ArrayDeque<Pair<Long, List<ListedMachine>>>()
+    private var outageUntil = 0L
+    private var number = 0
+    val workers: List<StandInWorker> get() = machines.values.mapNotNull { it.worker }
+
+    fun outage(forMs: Long) {
+        outageUntil = time.now + forMs
+    }
+
+    /** Boots machines and keeps the lists that will be served later. */
+    fun step() {
+        for ((id, machine) in machines) {
+            if (machine.worker == null && time.now >= machine.upAt) machine.worker = newWorker(id, machine.request)
+        }
+        lists += time.now to machines.map { (id, it) ->
+            val state = if (it.worker == null) ListedState.BOOTING else ListedState.RUNNING
+            ListedMachine(id, "$id:9000", it.request.type, it.request.zone, it.request.spot, state, (time.now - it.at) / 1000.0)
+        }
+        while (lists.size > 200) lists.removeFirst()
+    }
+
+    /** The cloud takes a machine back. */
+    fun take(id: MachineId) {
+        machines.remove(id)?.worker?.die()
+    }
+
+    private fun rentNow(request: RentalRequest): RentalOutcome {
+        answers[request.id]?.let { return RentalOutcome.Rented(it) }
+        val used = machines.values.count { it.request.type == request.type && it.request.zone == request.zone && it.request.spot == request.spot }
+        val count = minOf(request.count, perOffer - used)
+        if (count <= 0) return RentalOutcome.NoCapacity
+        val ids = List(count) { MachineId("vm-" + (number++).toString().padStart(6, '0')) }
+        for (id in ids) {
+            val boot = if (random.nextInt(20) == 0) Long.MAX_VALUE / 2 else random.nextLong(500, 12_000)
+            machines[id] = Rented(request, time.now, time.now + boot)
+        }
+        answers[request.id] = ids
+        return RentalOutcome.Rented(ids)
+    }
+
+    /** The cloud as one node reaches it. */
+    inner class View(private val trouble: Trouble) : Cloud {
+        private fun <T> ask(act: () -> T): T {
+            trouble.mayDie(random)
+            if (time.now < outageUntil) throw CloudTrouble("outage", mayBeCarriedOut = false)
+            if (random.nextDouble() < trouble.lossRate) {
+                if (random.nextBoolean()) act() else time.later(random.nextLong(100, 15_000)) { act() }
+                throw CloudTrouble("lost", mayBeCarriedOut = true)
+            }
+            return act().also { trouble.mayDie(random) }
+        }
+
+        override fun machineTypes() = ask { types }
+        override fun rent(request: RentalRequest) = ask { rentNow(request) }
+        override fun delete(machines: List<MachineId>) = ask { machines.forEach(::take) }
+        override fun list(after: MachineId?): MachinePage = ask {
+            val old = lists.lastOrNull { it.first <= time.now - random.nextLong(1000, 6000) }?.second.orEmpty()
+            val rest = old.filter { after == null || it.id > after }
+            MachinePage(rest.take(5), rest.size > 5)
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/mountmast/standin/StandInStore.kt
@@ -0,0 +1,151 @@
+package mountmast.standin
+
+import kotlinx.serialization.json.JsonElement
+import mountmast.protocol.HoldId
+import mountmast.protocol.Revision
+import mountmast.protocol.Stamp
+import mountmast.storage.Change
+import mountmast.storage.CommitOutcome
+import mountmast.storage.Entry
+import mountmast.storage.EntryPage
+import mountmast.storage.FollowOutcome
+import mountmast.storage.HoldEnded
+import mountmast.storage.StateStore
+import mountmast.storage.StoreRefused
+import mountmast.storage.StoreSilent
+import mountmast.storage.Transaction
+import mountmast.storage.Write
+import java.util.TreeMap
+import kotlin.random.Random
+
+/** The state service in virtual time. */
+class StandInStore(private val world: VirtualTime, private val keptChanges: Int = 400) {
+    private class Value(val data: JsonElement, val stamp: Long, val hold: Long?)
+
+    private val values = TreeMap<String, Value>()
+    private val holds = HashMap<Long, LongArray>() // ttl, ends
+    private val changes = ArrayDeque<Change>()
+    private var revision = 0L
+    private var nextHold = 1L
+    private var outageUntil = 0L
+    var largestValue = 0
+        private set
+
+    fun outage(forMs: Long) {
+        outageUntil = maxOf(outageUntil, world.now + forMs)
+        // An outage gives all leases their full time again.
+        for (hold in holds.values) hold[1] = maxOf(hold[1], outageUntil + hold[0])
+    }
+
+    val out: Boolean get() = world.now < outageUntil
+
+    private fun expire() {
+        if (out) return
+        val ended = holds.filterValues { it[1] < world.now }.keys
+        if (ended.isEmpty()) return
+        holds.keys.removeAll(ended)
+        val gone = values.filterValues { it.hold in ended }.keys.toList()
+        if (gone.isNotEmpty()) revision++
+        for (key in gone) delete(key)
+    }
+
+    private fun delete(key: String) {
+        if (values.remove(key) != null) note(Change(key, null, Stamp(revision.toULong())))
+    }
+
+    private fun note(change: Change) {
+        changes += change
+        while (changes.size > keptChanges) changes.removeFirst()
+    }
+
+    private fun commit(transaction: Transaction): CommitOutcome {
+        expire()
+        for (write in transaction.writes) {
+            if (write is Write.Put && write.hold != null && write.hold!!.number.toLong() !in holds) throw HoldEnded(write.hold!!)
+        }
+        val failed = transaction.conditions.filter { (values[it.key]?.stamp ?: 0L).toULong() != it.stamp.number }
+        if (failed.isNotEmpty()) return CommitOutcome.Conflict(failed.map { it.key })
+        if (transaction.writes.isNotEmpty()) revision++
+        for (write in transaction.writes) {
+            when (write) {
+                is Write.Put -> {
+                    values[write.key] = Value(write.value, revision, write.hold?.number?.toLong())
+                    largestValue = maxOf(largestValue, write.value.toString().length)
+                    note(Change(write.key, write.value, Stamp(revision.toULong())))
+                }
+                is Write.Delete -> delete(write.key)
+            }
+        }
+        return CommitOutcome.Committed(Revision(revision.toULong()))
+    }
+
+    /** The store as one node reaches it. */
+    inner class View(private val random: Random, private val trouble: Trouble) : StateStore {
+        override var reachable = true
+            private set
+
+        override fun shareAs(leader: Boolean) = Unit
+
+        private fun <T> ask(silentAllowed: Boolean = true, act: () -> T): T {
+            trouble.mayDie(random)
+            if (out || trouble.refusedByStore()) {
+                reachable = false
+                throw StoreRefused("refused")
+            }
+            if (trouble.cutFromStore()) {
+                reachable = false
+                if (silentAllowed && random.nextBoolean()) world.later(random.nextLong(100, 60_000)) { runCatching(act) }
+                throw StoreSilent("cut off")
+            }
+            if (silentAllowed && random.nextDouble() < trouble.lossRate) {
+                when (random.nextInt(3)) {
+                    0 -> act()
+                    1 -> world.later(random.nextLong(100, 20_000)) { if (!out) runCatching(act) }
+                    else -> {}
+                }
+                throw StoreSilent("lost")
+            }
+            reachable = true
+            return act().also { trouble.mayDie(random) }
+        }
+
+        override fun get(key: String): Entry? = ask(false) { expire(); values[key]?.let { Entry(key, it.data, Stamp(it.stamp.toULong())) } }
+
+        override fun list(prefix: String, after: String?, limit: Int): EntryPage = ask(false) {
+            expire()
+            val all = values.tailMap(prefix).entries.takeWhile { it.key.startsWith(prefix) }.filter { after == null || it.key > after }
+            // Small pages, so that listing in several parts is exercised.
+            val page = all.take(minOf(limit, 7))
+            EntryPage(page.map { Entry(it.key, it.value.data, Stamp(it.value.stamp.toULong())) }, all.size > page.size, Revision(revision.toULong()))
+        }
+
+        override fun commit(transaction: Transaction): CommitOutcome = ask { this@StandInStore.commit(transaction) }
+
+        override fun grantHold(ttlMs: Long): HoldId = ask {
+            val id = nextHold++
+            holds[id] = longArrayOf(ttlMs, world.now + ttlMs)
+            HoldId(id.toULong())
+        }
+
+        override fun renewHold(hold: HoldId): Boolean = ask {
+            expire()
+            val known = holds[hold.number.toLong()] ?: return@ask false
+            known[1] = world.now + known[0]
+            true
+        }
+
+        override fun dropHold(hold: HoldId) = ask {
+            holds[hold.number.toLong()]?.let { it[1] = world.now - 1 }
+            expire()
+        }
+
+        override fun follow(prefix: String, from: Revision, waitMs: Long): FollowOutcome = ask(false) {
+            expire()
+            val oldest = changes.firstOrNull()?.stamp?.number ?: 0u
+            if (changes.size >= keptChanges && from.number < oldest) return@ask FollowOutcome.TooOld
+            FollowOutcome.Changes(
+                changes.filter { it.stamp.number > from.number && it.key.startsWith(prefix) }, Revision(revision.toULong()),
+            )
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/mountmast/standin/StandInWorker.kt
@@ -0,0 +1,193 @@
+package mountmast.standin
+
+import mountmast.protocol.Attempt
+import mountmast.protocol.ExitCause
+import mountmast.protocol.ImageId
+import mountmast.protocol.JobId
+import mountmast.protocol.JobSpec
+import mountmast.protocol.MachineId
+import mountmast.protocol.MachineType
+import mountmast.protocol.Order
+import mountmast.protocol.ReportedTask
+import mountmast.protocol.Resources
+import mountmast.protocol.Session
+import mountmast.protocol.Tally
+import mountmast.protocol.TaskId
+import mountmast.protocol.TaskState
+import mountmast.protocol.Term
+import mountmast.protocol.Verb
+import mountmast.protocol.WorkerReport
+import mountmast.protocol.Zone
+
+/** A worker as PROTOCOL describes it, in virtual time. */
+class StandInWorker(
+    val id: MachineId,
+    val type: MachineType,
+    val zone: Zone,
+    val spot: Boolean,
+    private val time: VirtualTime,
+    private val rules: Rules,
+    private val leaseMs: Long,
+    private val jobOf: (JobId) -> JobSpec?,
+    private val poisoned: (JobId) -> Boolean,
+) {
+    private class Running(val attempt: Attempt, val spec: JobSpec, var state: TaskState, var leftMs: Long) {
+        var cause: ExitCause? = null
+        var stored = false
+        val onMachine get() = state == TaskState.RUNNING || state == TaskState.SAVING
+    }
+
+    private val tasks = LinkedHashMap<TaskId, Running>()
+    private val progress = HashMap<TaskId, Long>()
+    private val images = HashSet<ImageId>()
+    private var session = 1uL
+    private var tally = 0uL
+    private var helm = Term(0u)
+    private var answeredSentAt = time.now
+    private var steppedAt = time.now
+    private val place = Place(id, type.id, zone, spot)
+    val address = "$id:9000"
+    var sick = false
+    var cutUntil = 0L
+    var hangUntil = 0L
+    var noticeEndsAt: Long? = null
+    var alive = true
+    var nextReportAt = time.now
+    var target = 0
+
+    val hanging get() = time.now < hangUntil
+    val cut get() = time.now < cutUntil
+
+    fun report(): WorkerReport {
+        tally++
+        return WorkerReport(
+            id, address, type.id, zone, spot, Session(session), Tally(tally), helm,
+            noticeEndsAt?.let { (it - time.now) / 1000.0 },
+            tasks.map { (task, it) -> ReportedTask(task.toString(), it.attempt, it.state, it.cause, it.stored) },
+        )
+    }
+
+    /** Lets time pass for the tasks and the lease. */
+    fun step() {
+        if (!alive) return
+        val passed = time.now - steppedAt
+        steppedAt = time.now
+        // A hanging machine resumes within its lease or not at all.
+        if (time.now - answeredSentAt > leaseMs) expire()
+        if (hanging) return
+        for ((task, it) in tasks) {
+            if (it.state == TaskState.EXITED) continue
+            it.leftMs -= passed
+            if (it.leftMs > 0) continue
+            when (it.state) {
+                TaskState.FETCHING -> {
+                    images += it.spec.image
+                    begin(task, it)
+                }
+                TaskState.SAVING -> {
+                    it.stored = true
+                    exit(task, it, ExitCause.STOPPED)
+                }
+                else -> exit(task, it, ExitCause.DONE)
+            }
+        }
+    }
+
+    private fun begin(task: TaskId, it: Running) {
+        it.state = TaskState.RUNNING
+        it.leftMs = (it.spec.estimateS * 1000).toLong() + 500
+        rules.taskStarts(task, place, time.now)
+        if (sick || poisoned(task.job)) exit(task, it, ExitCause.FAILED)
+    }
+
+    private fun exit(task: TaskId, it: Running, cause: ExitCause) {
+        val was = it.onMachine
+        it.state = TaskState.EXITED
+        it.cause = cause
+        if (was) rules.taskGone(task, id, cause == ExitCause.DONE)
+    }
+
+    private fun expire() {
+        vanish()
+        tasks.clear()
+        session++
+        answeredSentAt = time.now
+    }
+
+    private fun vanish() {
+        for ((task, it) in tasks) if (it.onMachine) rules.taskGone(task, id, done = false)
+    }
+
+    /** The machine is gone. */
+    fun die() {
+        alive = false
+        vanish()
+        tasks.clear()
+    }
+
+    /** Takes the answer to a report that was sent at [sentAt] in [ofSession]. */
+    fun answered(term: Term, orders: List<Order>, sentAt: Long, ofSession: Session) {
+        if (!alive || ofSession.number != session || term < helm || time.now - sentAt > 4000) return
+        helm = term
+        answeredSentAt = sentAt
+        orders.forEach(::execute)
+    }
+
+    /** Commands sent directly; null where they were rejected. */
+    fun ordered(term: Term, ofSession: Session, orders: List<Order>): Boolean {
+        if (term < helm || ofSession.number != session) return false
+        helm = term
+        orders.forEach(::execute)
+        return true
+    }
+
+    private fun execute(order: Order) {
+        val task = TaskId.parse(order.task) ?: return
+        val known = tasks[task]
+        when (order.verb) {
+            Verb.START -> if (known?.attempt != order.attempt) start(task, order.attempt, known)
+            Verb.STOP -> if (known != null && known.attempt == order.attempt) stop(task, known, order.graceS ?: 0.0)
+            Verb.FORGET -> if (known != null && known.attempt == order.attempt && known.state == TaskState.EXITED) tasks -= task
+        }
+    }
+
+    private fun start(task: TaskId, attempt: Attempt, known: Running?) {
+        val spec = jobOf(task.job)
+        val refusal = when {
+            spec == null || task.index >= spec.tasks -> ExitCause.UNKNOWN
+            known != null && known.state != TaskState.EXITED -> ExitCause.BUSY
+            !spec.perTask.fitsIn(room()) -> ExitCause.NO_ROOM
+            else -> null
+        }
+        if (spec == null) return
+        if (refusal == ExitCause.BUSY) return
+        val fetchMs = if (spec.image in images) 0L else (spec.imageGb / type.fetchGbPerS * 1000).toLong()
+        val running = Running(attempt, spec, TaskState.FETCHING, fetchMs)
+        tasks[task] = running
+        if (refusal != null) {
+            running.state = TaskState.EXITED
+            running.cause = refusal
+        } else if (fetchMs == 0L) {
+            begin(task, running)
+        }
+    }
+
+    private fun stop(task: TaskId, it: Running, graceS: Double) {
+        if (it.state == TaskState.EXITED) return
+        val saves = it.state == TaskState.RUNNING && it.spec.checkpointEveryS > 0 && graceS >= it.spec.saveS
+        when {
+            saves -> {
+                it.state = TaskState.SAVING
+                it.leftMs = (it.spec.saveS * 1000).toLong()
+            }
+            it.state == TaskState.SAVING && graceS > 0 -> {}
+            else -> exit(task, it, ExitCause.STOPPED)
+        }
+    }
+
+    private fun room(): Resources {
+        var room = type.capacity
+        for (it in tasks.values) if (it.state != TaskState.EXITED) room -= it.spec.perTask
+        return room
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/mountmast/standin/VirtualTime.kt
@@ -0,0 +1,59 @@
+package mountmast.standin
+
+import mountmast.protocol.Clock
+import mountmast.protocol.Moment
+import mountmast.protocol.WallTime
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/** Time that passes only when told to, and what is to happen in it. */
+class VirtualTime {
+    var now = 0L
+        private set
+    private val pending = PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
+
+    fun later(inMs: Long, act: () -> Unit) {
+        pending += (now + inMs) to act
+    }
+
+    fun advance(ms: Long) {
+        val until = now + ms
+        while (pending.isNotEmpty() && pending.peek().first <= until) {
+            val (at, act) = pending.poll()
+            now = maxOf(now, at)
+            act()
+        }
+        now = until
+    }
+
+    /** A host's clocks: the steady one drifts, the time of day is off. */
+    fun clock(drift: Double, offMs: Long) = object : Clock {
+        override fun now() = Moment(1_000_000 + (now * (1 + drift)).toLong())
+        override fun wall() = WallTime(1_700_000_000_000 + now + offMs)
+    }
+}
+
+/** A process dies in the middle of what it does. */
+class NodeDied : RuntimeException()
+
+/** What ails a node right now. */
+class Trouble(private val time: VirtualTime) {
+    var lossRate = 0.0
+    var storeCutUntil = 0L
+    var storeRefusedUntil = 0L
+    var workersCutUntil = 0L
+    var stalledUntil = 0L
+    var dieAtNextCall = false
+
+    fun cutFromStore() = time.now < storeCutUntil
+    fun refusedByStore() = time.now < storeRefusedUntil
+    fun cutFromWorkers() = time.now < workersCutUntil
+    fun stalled() = time.now < stalledUntil
+
+    fun mayDie(random: Random) {
+        if (dieAtNextCall && random.nextInt(3) == 0) {
+            dieAtNextCall = false
+            throw NodeDied()
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/mountmast/standin/World.kt
@@ -0,0 +1,293 @@
+package mountmast.standin
+
+import kotlinx.serialization.decodeFromString
+import kotlinx.serialization.encodeToString
+import mountmast.coordination.Controller
+import mountmast.coordination.FleetPolicy
+import mountmast.coordination.Policy
+import mountmast.protocol.ImageId
+import mountmast.protocol.JobAnswer
+import mountmast.protocol.JobId
+import mountmast.protocol.JobSpec
+import mountmast.protocol.JobStatus
+import mountmast.protocol.MachineType
+import mountmast.protocol.Member
+import mountmast.protocol.NodeId
+import mountmast.protocol.OrdersMessage
+import mountmast.protocol.PeerHello
+import mountmast.protocol.RelayAnswer
+import mountmast.protocol.RelayRequest
+import mountmast.protocol.Settings
+import mountmast.protocol.Shape
+import mountmast.protocol.TeamId
+import mountmast.protocol.TeamQuota
+import mountmast.protocol.TypeId
+import mountmast.protocol.Urgency
+import mountmast.protocol.WireJson
+import mountmast.protocol.Zone
+import mountmast.transport.BeatOutcome
+import mountmast.transport.OrdersOutcome
+import mountmast.transport.Peers
+import mountmast.transport.UserAnswer
+import mountmast.transport.Workers
+import java.net.InetSocketAddress
+import kotlin.random.Random
+
+/** Three controllers with everything around them, in virtual time, drawn from one seed. Rules are checked after each step. */
+class World(val seed: Long, private val quietNetwork: Boolean = false) {
+    val random = Random(seed)
+    val time = VirtualTime()
+    val zones = listOf(Zone("a"), Zone("b"))
+    val teams = listOf(
+        TeamQuota(TeamId("red"), 16.0, 40.0, 0.0, 0.0), TeamQuota(TeamId("blue"), 8.0, 24.0, 0.0, 0.0),
+        TeamQuota(TeamId("free"), 0.0, 0.0, 0.0, 0.0),
+    ).associateBy { it.id }
+    private val types = listOf(
+        MachineType(TypeId("s"), 4.0, 0.0, 16.0, 20.0, 1.0, 0.3, 0.1, 4.0, zones),
+        MachineType(TypeId("l"), 16.0, 0.0, 64.0, 40.0, 0.5, 1.2, 0.4, 5.0, zones),
+    )
+    val rules = Rules(teams, CANCEL_MS)
+    val jobs = LinkedHashMap<JobId, JobSpec>()
+    private val accepted = LinkedHashSet<JobId>()
+    private val cancelled = LinkedHashSet<JobId>()
+    val poisoned = HashSet<JobId>()
+    val store = StandInStore(time)
+    val cloud = StandInCloud(time, random, types, perOffer = 4) { id, request ->
+        StandInWorker(
+            id, types.first { it.id == request.type }, request.zone, request.spot, time, rules, LEASE_MS, jobs::get,
+            poisoned::contains,
+        )
+    }
+
+    inner class Seat(val number: Int) {
+        val name = NodeId("node-$number")
+        var trouble = Trouble(time)
+        var controller: Controller? = null
+        var downUntil = 0L
+        private var due = LongArray(7)
+        private var starts = 0
+
+        fun start() {
+            trouble.lossRate = if (quietNetwork) 0.0 else 0.01
+            val drift = if (number == 0) 0.0005 else 0.0
+            controller = Controller(
+                settings(), Policy(), FleetPolicy(idleReturnMs = 8000), store.View(random, trouble), cloud.View(trouble),
+                WorkerLine(trouble), PeerLine(trouble), time.clock(drift, random.nextLong(-20, 20)), "$seed-$number-${starts++}",
+            )
+            due = LongArray(7)
+        }
+
+        private fun settings() = Settings(
+            name, zones[number % 2], local(1), local(2),
+            (0..2).filter { it != number }.map { Member(NodeId("node-$it"), zones[it % 2], local(2)) },
+            local(3), local(4), teams, REPORT_MS / 1000.0, LEASE_MS / 1000.0, CANCEL_MS / 1000.0, 80.0, 30.0, 2.0, 8, 5.0, 3.0, 100,
+        )
+
+        private fun local(port: Int) = InetSocketAddress("127.0.0.1", port)
+
+        fun step() {
+            val running = controller
+            if (running == null) {
+                if (time.now >= downUntil) start()
+                return
+            }
+            if (trouble.stalled()) return
+            val steps = listOf<Pair<Long, () -> Unit>>(
+                1000L to running::lead, 2000L to running::greet, 300L to running::pass, 100L to { running.write() },
+                150L to { running.follow(0) }, 1000L to running::manageFleet, 100L to { while (running.post(0)) Unit },
+            )
+            for (i in steps.indices.shuffled(random)) {
+                if (time.now < due[i]) continue
+                due[i] = time.now + steps[i].first
+                if (!guarded { steps[i].second() }) return
+            }
+        }
+
+        /** Runs part of this node; false where the process died in it. */
+        fun guarded(act: () -> Unit): Boolean = try {
+            act()
+            true
+        } catch (e: NodeDied) {
+            crash(if (random.nextInt(3) == 0) 200L else 4000L)
+            false
+        }
+
+        fun crash(downMs: Long) {
+            controller = null
+            downUntil = time.now + downMs
+            trouble = Trouble(time)
+        }
+    }
+
+    val seats = List(3) { Seat(it) }
+
+    private inner class WorkerLine(private val trouble: Trouble) : Workers {
+        override fun order(address: String, message: OrdersMessage): OrdersOutcome {
+            val worker = cloud.workers.firstOrNull { it.address == address && it.alive } ?: return OrdersOutcome.Unknown
+            fun execute(): OrdersOutcome =
+                if (worker.ordered(message.term, message.session, message.orders)) OrdersOutcome.Executed(worker.report())
+                else OrdersOutcome.Rejected(worker.report())
+            val lost = worker.cut || worker.hanging || trouble.cutFromWorkers() || random.nextDouble() < trouble.lossRate
+            if (!lost) return execute()
+            if (random.nextInt(4) == 0) return OrdersOutcome.NotSent
+            if (random.nextBoolean()) time.later(random.nextLong(100, 60_000)) { if (worker.alive) execute() }
+            return OrdersOutcome.Unknown
+        }
+    }
+
+    private inner class PeerLine(private val trouble: Trouble) : Peers {
+        private fun reach(to: Member) = seats.first { it.name == to.node }.takeIf { !trouble.stalled() && !it.trouble.stalled() }?.controller
+
+        override fun hello(to: Member, hello: PeerHello): PeerHello? = reach(to)?.hello(hello)
+        override fun relay(to: Member, request: RelayRequest): RelayAnswer? {
+            val users = reach(to)?.users ?: return null
+            val id = request.path.removePrefix("/v1/jobs/").removeSuffix("/cancel")
+            val answer = when {
+                request.path == "/v1/jobs" -> users.submit(request.body, relayed = true)
+                request.method == "POST" -> users.cancel(id, relayed = true)
+                else -> users.status(id, relayed = true)
+            }
+            return RelayAnswer(answer.status, answer.body, answer.retryAfterS)
+        }
+    }
+
+    /** Lets [ms] pass, step by step. */
+    fun run(ms: Long, busy: Boolean) {
+        val until = time.now + ms
+        while (time.now < until) {
+            time.advance(random.nextLong(20, 90))
+            cloud.step()
+            for (worker in cloud.workers) {
+                worker.step()
+                beat(worker)
+            }
+            seats.shuffled(random).forEach { it.step() }
+            if (busy && random.nextInt(25) == 0) submitSomething()
+            if (busy && random.nextInt(120) == 0) accepted.randomOrNull(random)?.let { cancel(it) }
+            if (random.nextInt(10) == 0) (jobs.keys + JobId("j-999999")).randomOrNull(random)?.let { poll(it) }
+            rules.check(time.now)
+        }
+    }
+
+    private fun beat(worker: StandInWorker) {
+        if (!worker.alive || worker.hanging || time.now < worker.nextReportAt) return
+        worker.nextReportAt = time.now + REPORT_MS * random.nextLong(75, 125) / 100
+        val report = worker.report()
+        val sentAt = time.now
+        val seat = seats[worker.target]
+        val controller = seat.controller
+        if (controller == null || seat.trouble.stalled() || worker.cut || seat.trouble.cutFromWorkers() || random.nextDouble() < seat.trouble.lossRate) {
+            // A cut may hold a report and deliver it long after its worker has given up on it.
+            if (random.nextInt(3) == 0) {
+                time.later(random.nextLong(500, 40_000)) { seats[worker.target].controller?.let { late -> seat.guarded { late.beat(report) } } }
+            }
+            worker.target = (worker.target + 1) % seats.size
+            return
+        }
+        seat.guarded {
+            when (val outcome = controller.beat(report)) {
+                is BeatOutcome.Accepted -> {
+                    val delay = if (quietNetwork) 0L else random.nextLong(0, 60)
+                    if (random.nextDouble() >= seat.trouble.lossRate) {
+                        time.later(delay) { worker.answered(outcome.answer.term, outcome.answer.orders, sentAt, report.session) }
+                    }
+                }
+                is BeatOutcome.Elsewhere -> {
+                    val next = seats.indexOfFirst { it.name == outcome.node }
+                    worker.target = if (next < 0 || next == worker.target) (worker.target + 1) % seats.size else next
+                }
+            }
+        }
+    }
+
+    private fun <T> ask(act: (Seat, Controller) -> T): T? {
+        val seat = seats.filter { it.controller != null && !it.trouble.stalled() }.randomOrNull(random) ?: return null
+        var result: T? = null
+        seat.guarded { result = act(seat, checkNotNull(seat.controller)) }
+        return result
+    }
+
+    fun submit(spec: JobSpec): Int? {
+        jobs[spec.id] = spec
+        rules.submitting(spec)
+        val answer = ask { _, controller -> controller.users.submit(WireJson.encodeToString(spec), relayed = false) } ?: return null
+        rules.submissionAnswered(spec.id, answer.status)
+        if (answer.status in 200..201) accepted += spec.id
+        answer.state()?.let { rules.statusAnswered(spec.id, answer.status, it, time.now) }
+        return answer.status
+    }
+
+    fun cancel(id: JobId): Int? {
+        rules.cancelling(id)
+        val answer = ask { _, controller -> controller.users.cancel(id.text, relayed = false) } ?: return null
+        rules.statusAnswered(id, answer.status, answer.state(), time.now)
+        if (answer.status == 200) cancelled += id
+        return answer.status
+    }
+
+    fun poll(id: JobId): JobStatus? {
+        val answer = ask { _, controller -> controller.users.status(id.text, relayed = false) } ?: return null
+        rules.statusAnswered(id, answer.status, answer.state(), time.now)
+        return answer.state()
+    }
+
+    private fun UserAnswer.state(): JobStatus? = if (status in 200..201) WireJson.decodeFromString<JobAnswer>(body).status else null
+
+    private fun submitSomething() {
+        if (jobs.isNotEmpty() && random.nextInt(4) == 0) {
+            submit(jobs.values.random(random))
+            return
+        }
+        submit(job(jobs.size))
+    }
+
+    fun job(number: Int, change: (JobSpec) -> JobSpec = { it }): JobSpec {
+        val cpus = listOf(1.0, 2.0, 4.0, 7.0).random(random)
+        return change(
+            JobSpec(
+                JobId("j-" + number.toString().padStart(6, '0')), "c", teams.keys.random(random),
+                if (random.nextInt(8) == 0) Shape.SERVICE else Shape.ARRAY, Urgency.entries.random(random),
+                random.nextInt(1, 5), cpus, 0.0, cpus * 2, ImageId("i${random.nextInt(3)}"), random.nextDouble(0.0, 2.0),
+                if (random.nextInt(4) == 0) listOf(TypeId("l")) else null, if (random.nextInt(5) == 0) zones.random(random) else null,
+                random.nextInt(5) == 0, random.nextInt(5) == 0, random.nextInt(3) != 0, random.nextDouble(1.0, 8.0),
+                if (random.nextBoolean()) 2.0 else 0.0, 0.5, null,
+            ),
+        )
+    }
+
+    /** Arrays that were accepted and not cancelled but are not done yet. */
+    fun unfinished(): List<JobId> = accepted.filter { id ->
+        jobs.getValue(id).shape == Shape.ARRAY && id !in cancelled && id !in poisoned && rules.tellable(id) == null
+    }
+
+    /** One failure, drawn from the seed. */
+    fun fail() {
+        val seat = seats.random(random)
+        val ms = random.nextLong(1000, 30_000)
+        val worker = cloud.workers.filter { it.alive }.randomOrNull(random)
+        when (random.nextInt(13)) {
+            0 -> seat.crash(if (random.nextBoolean()) 100L else 4000L)
+            1 -> seat.trouble.dieAtNextCall = true
+            2 -> seats.forEach { it.crash(random.nextLong(50, 4000)) }
+            3 -> seat.trouble.storeCutUntil = time.now + ms
+            4 -> seat.trouble.storeRefusedUntil = time.now + ms
+            5 -> seat.trouble.workersCutUntil = time.now + ms
+            6 -> seat.trouble.stalledUntil = time.now + ms / 2
+            7 -> store.outage(ms)
+            8 -> cloud.outage(ms)
+            9 -> worker?.cutUntil = time.now + ms
+            10 -> worker?.hangUntil = time.now + ms / 3
+            11 -> worker?.let { taken ->
+                taken.noticeEndsAt = time.now + 3000
+                time.later(random.nextLong(0, 3000)) { cloud.take(taken.id) }
+            }
+            else -> worker?.sick = true
+        }
+    }
+
+    companion object {
+        const val LEASE_MS = 6000L
+        const val REPORT_MS = 1000L
+        const val CANCEL_MS = 24_000L
+    }
+}
