Among teams without a guarantee the job with least slack goes first, not the shortest

Cause: in Vienna no team has a guarantee, so every degree is 1 and remaining run alone orders all work; while the cluster is full, long jobs wait until everything else is done and miss their deadlines. Change: between urgency and remaining run, those teams' jobs are ordered by slack; jobs that can hardly be in time let the others go first. The exception is confined to teams without a guarantee.

--- a/src/main/kotlin/mountmast/coordination/Reign.kt
+++ b/src/main/kotlin/mountmast/coordination/Reign.kt
@@ -414,9 +414,11 @@
         }
         val perZone = HashMap<Zone, Int>()
         for (assignment in job.live.values) perZone.merge(assignment.zone, 1, Int::plus)
+        val runS = ledger.runEstimateS(job)
+        val dueS = job.spec.deadlineS ?: NO_DEADLINE_S
         return JobView(
             job.spec, job.submitted, open, job.spec.tasks - job.done.cardinality(), job.live.size, perZone,
-            ledger.runEstimateS(job), job.failedOn, job.poisoned, now >= job.notBefore,
+            runS, job.failedOn, job.poisoned, now >= job.notBefore, dueS - runS - (clock.wall().ms - job.submitted.ms) / 1000.0,
         )
     }
 
@@ -468,6 +470,7 @@
         const val STALL_REPEAT_MS = 60_000L
         const val DEAF_MS = 6000L
         const val LEAST_FOR_DEAF = 3
+        const val NO_DEADLINE_S = 1e6
         const val REMEMBERED = 1000
     }
 }
--- a/src/main/kotlin/mountmast/coordination/Scheduler.kt
+++ b/src/main/kotlin/mountmast/coordination/Scheduler.kt
@@ -71,6 +71,8 @@
     val poisoned: Boolean,
     /** False while the job is backed off. */
     val mayStart: Boolean,
+    /** How much later than now its tasks could start and still be in time. */
+    val slackS: Double,
 )
 
 /** What the scheduler decides on: nothing else enters a decision. */
@@ -120,12 +122,22 @@
             val assurance = assess()
             val order = compareBy<JobView>({ assurance[it.spec.team] ?: 1.0 }, { it.remainingS }, { it.submitted }, { it.spec.id })
             // Exception: teams without a guarantee all have degree 1, so among equals the more urgent goes first.
-            val urgentFirst = compareBy<JobView>({ assurance[it.spec.team] ?: 1.0 }, { it.spec.urgency })
+            val urgentFirst = compareBy<JobView>({ assurance[it.spec.team] ?: 1.0 }, { it.spec.urgency }, { lateness(it) }, { slack(it) })
             for (job in snapshot.jobs.sortedWith(order)) placeGuaranteed(job)
             for (job in snapshot.jobs.sortedWith(urgentFirst.then(order))) placeBorrowed(job)
             return Plan(starts, evictions, waiting, assurance)
         }
 
+        /** Jobs of teams without a guarantee that can hardly be in time any more let those go first that can. */
+        private fun lateness(job: JobView) = if (slack(job) < -HOPELESS * job.remainingS) 1 else 0
+
+        /**
+         * Exception: where no team has a guarantee the degree orders nothing, and shorter runs alone would keep long
+         * jobs waiting for good; so among them the one that can wait least goes first.
+         */
+        private fun slack(job: JobView): Double =
+            if (snapshot.teams[job.spec.team]?.hasGuarantee == true) 0.0 else job.slackS
+
         /** Splits each team's work into guaranteed and borrowed, and smooths its degree of assurance. */
         private fun assess(): Map<TeamId, Double> {
             val degrees = HashMap<TeamId, Double>()
@@ -319,6 +331,7 @@
 
     private companion object {
         /** Work that saves nothing is better off on machines that are not taken back. */
+        const val HOPELESS = 0.5
         const val SPOT_RISK = 0.5
     }
 }
