--- a/src/main/kotlin/mountmast/coordination/Fleet.kt
+++ b/src/main/kotlin/mountmast/coordination/Fleet.kt
@@ -161,14 +161,17 @@
             MachineState.UP -> {
                 val empty = machine.live.isEmpty()
                 machine.listedFailed || (empty && (machine.quarantined || machine.noticed)) ||
-                    (empty && machine.reservedFor == null && now - machine.idleSince > idleReturnMs(bootMs) &&
+                    (empty && machine.reservedFor == null && now - machine.idleSince > idleReturnMs(machine, type) &&
                         now - machine.rentedAt > LEAST_PAID_MS)
             }
         }
     }
 
-    /** What takes long to boot is kept longer. */
-    private fun idleReturnMs(bootMs: Long) = maxOf(policy.idleReturnMs, 2 * bootMs)
+    /** What takes long to boot is kept longer, and what costs more than need be is not. */
+    private fun idleReturnMs(machine: Machine, type: MachineType): Long {
+        val kept = maxOf(policy.idleReturnMs, (2 * type.bootS * 1000).toLong())
+        return if (machine.spot) kept else (kept * minOf(1.0, type.spotPrice / type.price)).toLong()
+    }
 
     private fun rent(now: Moment) {
         unsettled?.let { return settle(it, now) }
--- a/src/main/kotlin/mountmast/coordination/Scheduler.kt
+++ b/src/main/kotlin/mountmast/coordination/Scheduler.kt
@@ -241,7 +241,7 @@
             for (machine in snapshot.machines) {
                 if (!spec.perTask.fitsIn(machine.room) || !allowed(job, machine)) continue
                 if (home != null && machine.zone != home) continue
-                val score = score(spec, machine)
+                val score = score(job, machine)
                 if (score < bestScore) {
                     bestScore = score
                     best = machine
@@ -251,12 +251,15 @@
         }
 
         /** Lower is better: first machines that hold the image, then those that would be left with the least room. */
-        private fun score(spec: JobSpec, machine: MachineView): Double {
+        private fun score(job: JobView, machine: MachineView): Double {
+            val spec = job.spec
             val fetchS = if (spec.image in machine.images) 0.0 else spec.imageGb / machine.type.fetchGbPerS
             val room = machine.room - spec.perTask
             val leftover = maxOf(room.cpus / machine.type.cpus, room.memoryGb / machine.type.memoryGb)
-            val losable = if (machine.spot && spec.checkpointEveryS <= 0) SPOT_RISK else 0.0
-            return fetchS + leftover + losable
+            // Work that can be done again in time goes to cheap machines, so that dear ones fall idle and are returned.
+            val patient = job.slackS > PATIENT_S
+            val wrongKind = if (patient) !machine.spot && spec.spotAllowed else machine.spot && spec.checkpointEveryS <= 0
+            return fetchS + leftover + (if (wrongKind) WRONG_KIND else 0.0)
         }
 
         private fun allowed(job: JobView, machine: MachineView): Boolean {
@@ -330,8 +333,12 @@
     }
 
     private companion object {
-        /** Work that saves nothing is better off on machines that are not taken back. */
         const val HOPELESS = 0.5
-        const val SPOT_RISK = 0.5
+
+        /** Work with more slack than this is patient. */
+        const val PATIENT_S = 200.0
+
+        /** Work that saves nothing and is pressed is better off on machines that are not taken back. */
+        const val WRONG_KIND = 0.5
     }
 }
