--- a/src/main/kotlin/mountmast/Main.kt
+++ b/src/main/kotlin/mountmast/Main.kt
@@ -1,54 +1,48 @@
 package mountmast
 
 import mountmast.coordination.Controller
-import mountmast.coordination.FleetPolicy
 import mountmast.coordination.Node
-import mountmast.coordination.Policy
-import mountmast.protocol.BadSettings
+import mountmast.coordination.OperatorSettings
 import mountmast.protocol.Settings
 import mountmast.protocol.SystemClock
 import mountmast.storage.HttpStateStore
 import mountmast.transport.HttpCloud
 import mountmast.transport.HttpPeers
 import mountmast.transport.HttpWorkers
-import java.io.File
 import java.security.SecureRandom
 import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
 
-private const val USAGE_ERROR = 2
-
 fun main(args: Array<String>) {
     configureLogging(System.getenv("LOG_LEVEL"))
-    if (args.singleOrNull() == "warm-up") {
+    if (args.singleOrNull() == WarmUp.COMMAND) {
         WarmUp.run()
         exitProcess(0)
     }
-    val settings = try {
-        Settings.read(File(args.last()))
-    } catch (e: BadSettings) {
-        System.err.println("mountmast: ${e.message}")
-        exitProcess(USAGE_ERROR)
+    val tool = CommandLineTool { settings, operators ->
+        start(settings, operators)
+        CountDownLatch(1).await()
     }
-    start(settings)
-    CountDownLatch(1).await()
+    exitProcess(tool.run(args))
 }
 
-internal fun start(settings: Settings) {
+/** Starts a node on its own threads. */
+internal fun start(settings: Settings, operators: OperatorSettings) {
     // The JDK's client would otherwise send a request again by itself, and its server delay small answers.
     System.setProperty("sun.net.http.retryPost", "false")
     System.setProperty("sun.net.httpserver.nodelay", "true")
+    // Users and workers keep their connections open; half of the sockets stay free for what this node opens itself.
     System.setProperty("sun.net.httpserver.maxIdleConnections", (settings.maxConnections / 2).toString())
     System.setProperty("sun.net.httpserver.idleInterval", "60")
+    System.setProperty("jdk.httpserver.maxConnections", (settings.maxConnections * 3 / 4).toString())
     val run = SecureRandom().nextLong().toULong().toString(36)
     val store = HttpStateStore(settings.state, settings.stateRps, settings.stateWriteRps, settings.nodes)
     store.shareAs(leader = false)
-    val policy = Policy()
     val controller = Controller(
-        settings, policy, FleetPolicy(), store, HttpCloud(settings.cloud, settings.cloudRps), HttpWorkers(), HttpPeers(),
-        SystemClock, run,
+        settings, operators.policy, operators.fleet, store, HttpCloud(settings.cloud, settings.cloudRps), HttpWorkers(),
+        HttpPeers(), SystemClock, run,
     )
-    Node(settings, policy, controller).start()
+    Node(settings, operators, controller).start()
 }
 
 private fun configureLogging(level: String?) {
--- a/src/main/kotlin/mountmast/WarmUp.kt
+++ b/src/main/kotlin/mountmast/WarmUp.kt
@@ -1,6 +1,7 @@
 package mountmast
 
 import kotlinx.serialization.encodeToString
+import mountmast.coordination.OperatorSettings
 import mountmast.protocol.Attempt
 import mountmast.protocol.BeatAnswer
 import mountmast.protocol.JobValidation
@@ -27,9 +28,12 @@
  * It serves on loopback for a moment, with nobody behind the cloud's and the state service's addresses.
  */
 internal object WarmUp {
+    const val COMMAND = "warm-up"
+
     fun run() {
         val (public, peer) = ServerSocket(0).use { a -> ServerSocket(0).use { b -> a.localPort to b.localPort } }
-        start(Settings.parse(settings(public, peer)))
+        start(Settings.parse(settings(public, peer)), OperatorSettings())
+        CommandLineTool { _, _ -> }.run(arrayOf("--config", "/nonexistent"))
         loadOwnClasses()
         callSelf(public)
         Thread.sleep(SERVE_MS)
--- a/src/main/kotlin/mountmast/coordination/Ledger.kt
+++ b/src/main/kotlin/mountmast/coordination/Ledger.kt
@@ -244,7 +244,7 @@
  * may be under way. Even then the task counts until the store no longer lists it, because the next leader would
  * start it again from there.
  */
-class Ledger(private val tasksPerChunk: Int) {
+class Ledger(private val tasksPerChunk: Int, private val runDecay: Double) {
     val jobs = LinkedHashMap<JobId, Job>()
     val machines = LinkedHashMap<MachineId, Machine>()
 
@@ -457,7 +457,7 @@
     }
 
     private fun learnRun(team: TeamId, runS: Double) {
-        meanRunS.merge(team, runS) { old, new -> old * RUN_DECAY + new * (1 - RUN_DECAY) }
+        meanRunS.merge(team, runS) { old, new -> old * runDecay + new * (1 - runDecay) }
     }
 
     /** Estimate of the whole run of one of the job's tasks, in seconds. */
@@ -469,7 +469,6 @@
         const val POISON_PAUSE_MS = 5000L
         const val MOST_DOUBLINGS = 4
         const val SICK_STRIKES = 2
-        const val RUN_DECAY = 0.7
         const val UNKNOWN_RUN_S = 60.0
     }
 }
--- a/src/main/kotlin/mountmast/coordination/Node.kt
+++ b/src/main/kotlin/mountmast/coordination/Node.kt
@@ -11,16 +11,16 @@
 private val log = LoggerFactory.getLogger("mountmast.node")
 
 /** Runs a [Controller]: its servers, and a thread for each kind of step. */
-class Node(private val settings: Settings, private val policy: Policy, private val controller: Controller) {
+class Node(private val settings: Settings, private val operators: OperatorSettings, private val controller: Controller) {
     fun start() {
-        val admission = AdmissionLimit()
+        val admission = AdmissionLimit(operators.admission.least, operators.admission.most)
         publicRoutes(controller.users, controller, admission)
             .asServer(BoundedServer(settings.serveOn, "serve", SERVE_THREADS, SERVE_WAITING)).start()
         peerRoutes(controller.users, controller)
             .asServer(BoundedServer(settings.peerListen, "peer", PEER_THREADS, SERVE_WAITING)).start()
         loop("leadership") { controller.lead(); LEADERSHIP_MS }
         loop("greeter") { controller.greet(); GREET_MS }
-        whileLeading("pass") { reign -> controller.pass(); reign.awaitPlacement(policy.passMs); PASS_GAP_MS }
+        whileLeading("pass") { reign -> controller.pass(); reign.awaitPlacement(operators.policy.passMs); PASS_GAP_MS }
         whileLeading("writer") { reign -> if (!controller.write()) reign.awaitWritable(WRITE_IDLE_MS); WRITE_GAP_MS }
         whileLeading("follow") { if (controller.follow(FOLLOW_MS)) FOLLOW_GAP_MS else FAILED_MS }
         whileLeading("fleet") { controller.manageFleet(); FLEET_MS }
--- a/src/main/kotlin/mountmast/coordination/Reign.kt
+++ b/src/main/kotlin/mountmast/coordination/Reign.kt
@@ -48,7 +48,7 @@
 ) {
     /** Guards the ledger and everything below. Held for moments; never during I/O. */
     val lock = ReentrantLock()
-    val ledger = Ledger(tasksPerChunk)
+    val ledger = Ledger(tasksPerChunk, policy.runDecay)
 
     /** Signalled when there is something to write, and when there is something to place. */
     private val writable: Condition = lock.newCondition()
--- a/src/main/kotlin/mountmast/coordination/Scheduler.kt
+++ b/src/main/kotlin/mountmast/coordination/Scheduler.kt
@@ -29,6 +29,8 @@
     val passMs: Long = 1000,
     val evictionsPerPass: Int = 4,
     val startsPerPass: Int = 200,
+    /** Weight of the past in a team's mean run time. */
+    val runDecay: Double = 0.7,
 ) {
     fun threshold(team: TeamId) = guaranteedFromOf[team] ?: guaranteedFrom
 }
--- a/src/main/kotlin/mountmast/transport/Routes.kt
+++ b/src/main/kotlin/mountmast/transport/Routes.kt
@@ -42,9 +42,9 @@
  * How many users' requests may be in progress at once: a limit that follows measured times. Health checks,
  * cancellations and workers' reports do not pass through it.
  */
-class AdmissionLimit(least: Int = 4, most: Int = 64) {
+class AdmissionLimit(least: Int, most: Int) {
     private val limiter: SimpleLimiter<Unit> = SimpleLimiter.newBuilder()
-        .limit(Gradient2Limit.newBuilder().minLimit(least).maxConcurrency(most).initialLimit(most / 2).build())
+        .limit(Gradient2Limit.newBuilder().minLimit(least).maxConcurrency(most).initialLimit(maxOf(least, most / 2)).build())
         .build<Unit>()
 
     /** Runs [work], or answers at once that the node is busy. */
--- /dev/null
+++ b/src/test/kotlin/mountmast/transport/RoutesTest.kt
@@ -0,0 +1,85 @@
+package mountmast.transport
+
+import mountmast.protocol.BeatAnswer
+import mountmast.protocol.NodeId
+import mountmast.protocol.Term
+import mountmast.protocol.WorkerReport
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+
+class RoutesTest {
+    private val blocked = CountDownLatch(1)
+    private val entered = CountDownLatch(MOST)
+
+    private inner class Users : UserService {
+        override fun submit(body: String, relayed: Boolean): UserAnswer {
+            if (body == "block") {
+                entered.countDown()
+                blocked.await(10, TimeUnit.SECONDS)
+            }
+            if (body == "burst") throw IllegalStateException("on purpose")
+            return UserAnswer(201, "{}")
+        }
+
+        override fun status(id: String, relayed: Boolean) = UserAnswer(404, refusal("no such job"))
+        override fun cancel(id: String, relayed: Boolean) = UserAnswer(200, id)
+        override fun ready() = true
+    }
+
+    private val beats = BeatService { report: WorkerReport ->
+        if (report.machine.text == "vm-1") BeatOutcome.Accepted(BeatAnswer(Term(7u), emptyList())) else BeatOutcome.Elsewhere(NodeId("n-2"))
+    }
+    private val routes = publicRoutes(Users(), beats, AdmissionLimit(MOST, MOST))
+
+    private fun call(method: Method, path: String, body: String = "") = routes(Request(method, path).body(body))
+
+    private fun report(machine: String) =
+        """{"host":"$machine","address":"127.0.0.1:1","hull":"s","yard":"a","loaners":false,"watch":1,"tally":1,"helm":0,"pieces":[],"more":1}"""
+
+    @Test
+    fun `paths and methods are told apart`() {
+        assertEquals(404, call(Method.GET, "/nothing").status.code)
+        assertEquals(405, call(Method.GET, "/v1/jobs").status.code)
+        assertEquals(405, call(Method.POST, "/v1/jobs/j-1").status.code)
+        assertEquals(404, call(Method.GET, "/v1/jobs/j-1").status.code)
+        assertEquals("j-1", call(Method.POST, "/v1/jobs/j-1/cancel").bodyString())
+        assertEquals(400, call(Method.POST, "/v1/jobs", "x".repeat(MOST_BODY_BYTES + 1)).status.code)
+        assertEquals(201, call(Method.POST, "/v1/jobs", "x".repeat(MOST_BODY_BYTES)).status.code)
+        assertEquals(500, call(Method.POST, "/v1/jobs", "burst").status.code)
+    }
+
+    @Test
+    fun `reports are answered, redirected, or refused where they make no sense`() {
+        assertEquals("""{"helm":7,"orders":[]}""", call(Method.POST, "/agent/beat", report("vm-1")).bodyString())
+        val elsewhere = call(Method.POST, "/agent/beat", report("vm-2"))
+        assertEquals(421 to """{"bridge":"n-2"}""", elsewhere.status.code to elsewhere.bodyString())
+        for (absurd in listOf("", "[]", "{}", report("vm-1").replace("\"watch\":1", "\"watch\":-1"), report("vm-1").replace("\"watch\":1", "\"watch\":\"x\""))) {
+            assertEquals(400, call(Method.POST, "/agent/beat", absurd).status.code, absurd)
+        }
+    }
+
+    @Test
+    fun `over the limit submissions are refused at once, while the rest is served`() {
+        val busy = List(MOST) { thread { call(Method.POST, "/v1/jobs", "block") } }
+        assertTrue(entered.await(10, TimeUnit.SECONDS))
+        val refused = call(Method.POST, "/v1/jobs", "{}")
+        assertEquals(429, refused.status.code)
+        assertEquals("1", refused.header("Retry-After"))
+        assertEquals(200, call(Method.GET, "/ready").status.code)
+        assertEquals(200, call(Method.POST, "/v1/jobs/j-1/cancel").status.code)
+        assertEquals(200, call(Method.POST, "/agent/beat", report("vm-1")).status.code)
+        blocked.countDown()
+        busy.forEach { it.join() }
+        assertEquals(201, call(Method.POST, "/v1/jobs", "{}").status.code)
+    }
+
+    private companion object {
+        const val MOST = 4
+    }
+}
