A new leader recalls which images the machines hold

Cause: worker reports do not list caches, so after each change of leader urgent tasks went to machines that had to fetch for five seconds and more. Change: the leader notes what each machine is thought to hold, one small record every 1.5 s at most, and only if it changed.

--- a/src/main/kotlin/mountmast/coordination/Fleet.kt
+++ b/src/main/kotlin/mountmast/coordination/Fleet.kt
@@ -107,6 +107,7 @@
             machine.address = listed.address
             machine.answeredAt = known?.answeredAt ?: now
             known?.live?.let { machine.live.putAll(it) }
+            ledger.recalledImages.remove(listed.id)?.let(machine::recallImages)
             machine.listedRunning = listed.state == ListedState.RUNNING
             ledger.machines[listed.id] = machine
         }
--- a/src/main/kotlin/mountmast/coordination/Ledger.kt
+++ b/src/main/kotlin/mountmast/coordination/Ledger.kt
@@ -220,6 +220,11 @@
     fun usable(now: Moment) =
         state == MachineState.UP && !draining && !noticed && !deleting && !quarantined && session != null && now >= notBefore
 
+    /** Takes over what an earlier leader thought this machine to hold. */
+    fun recallImages(known: Map<ImageId, Double>) {
+        for ((image, sizeGb) in known) images.putIfAbsent(image, sizeGb)
+    }
+
     fun touchImage(image: ImageId, sizeGb: Double, cacheGb: Double) {
         images.remove(image)
         images[image] = sizeGb
@@ -251,6 +256,9 @@
     /** Machines that were deleted, kept so that stale lists and late reports do not bring them back. */
     val tombstones = LinkedHashMap<MachineId, Moment>()
     var types = LinkedHashMap<TypeId, MachineType>()
+
+    /** Images of machines that were not heard from yet, as the leader before noted them. */
+    val recalledImages = HashMap<MachineId, Map<ImageId, Double>>()
     private val uses = HashMap<TeamId, Resources>()
 
     /** Mean run time of each team's tasks, recent ones counting more; for jobs without an estimate. */
@@ -375,6 +383,7 @@
             known.knownAt = machine?.knownAt ?: now
             known.idleSince = now
             machine?.live?.let { known.live.putAll(it) }
+            recalledImages.remove(report.machine)?.let(known::recallImages)
             machines[report.machine] = known
             machine = known
         }
--- a/src/main/kotlin/mountmast/coordination/LedgerWriter.kt
+++ b/src/main/kotlin/mountmast/coordination/LedgerWriter.kt
@@ -4,13 +4,17 @@
 import kotlinx.serialization.json.decodeFromJsonElement
 import kotlinx.serialization.json.encodeToJsonElement
 import mountmast.protocol.Clock
+import mountmast.protocol.ImageId
 import mountmast.protocol.JobStatus
+import mountmast.protocol.MachineId
 import mountmast.protocol.MachineTypes
+import mountmast.protocol.Moment
 import mountmast.protocol.Stamp
 import mountmast.protocol.WireJson
 import mountmast.storage.CommitOutcome
 import mountmast.storage.Condition
 import mountmast.storage.EvictionsRecord
+import mountmast.storage.ImagesRecord
 import mountmast.storage.JobRecord
 import mountmast.storage.Keys
 import mountmast.storage.OverRecord
@@ -40,6 +44,10 @@
     /** Chunks of jobs that are over and did not fit into the transaction that ended them. */
     private val garbage = ArrayDeque<String>()
 
+    private var imagesNotBefore = Moment(0)
+    private var nextBucket = 0
+    private val writtenImages = HashMap<Int, Map<MachineId, Map<ImageId, Double>>>()
+
     private class ChunkWrite(val job: Job, val chunk: Chunk, val version: Long, val intended: List<Assignment>, val ended: List<Assignment>)
 
     private class Batch {
@@ -104,12 +112,30 @@
                 put(batch, Keys.TYPES, WireJson.encodeToJsonElement(types))
             }
         }
+        addImages(batch)
         garbage += reign.orphans
         reign.orphans.clear()
         while (garbage.isNotEmpty() && batch.writes.size < txnOps) batch.writes += Write.Delete(garbage.removeFirst())
         return batch.takeIf { it.writes.isNotEmpty() }
     }
 
+    /**
+     * Notes now and then which images machines hold: reports do not say, and a new leader that does not know sends
+     * urgent work to machines that must fetch first.
+     */
+    private fun addImages(batch: Batch) {
+        val now = clock.now()
+        if (now < imagesNotBefore || batch.writes.size >= txnOps) return
+        imagesNotBefore = now + IMAGES_EVERY_MS
+        val bucket = nextBucket
+        nextBucket = (nextBucket + 1) % IMAGE_BUCKETS
+        val held = ledger.machines.values.filter { it.id.hashCode().mod(IMAGE_BUCKETS) == bucket && it.images.isNotEmpty() }
+            .take(MOST_PER_BUCKET).associate { it.id to LinkedHashMap(it.images) }
+        if (held == writtenImages[bucket] || (held.isEmpty() && bucket !in writtenImages)) return
+        writtenImages[bucket] = held
+        put(batch, Keys.IMAGES + bucket, WireJson.encodeToJsonElement(ImagesRecord(held)))
+    }
+
     private fun addOver(batch: Batch, job: Job) {
         if (batch.writes.size + 2 > txnOps) return
         val status = if (job.cancelled) JobStatus.CANCELLED else JobStatus.DONE
@@ -204,5 +230,10 @@
 
     private companion object {
         const val MOST_BYTES = 40 * 1024
+        const val IMAGES_EVERY_MS = 1500L
+        const val IMAGE_BUCKETS = 8
+
+        /** Keeps a bucket's record well within a value. */
+        const val MOST_PER_BUCKET = 12
     }
 }
--- a/src/main/kotlin/mountmast/coordination/Reign.kt
+++ b/src/main/kotlin/mountmast/coordination/Reign.kt
@@ -23,6 +23,7 @@
 import mountmast.storage.ChunkRecord
 import mountmast.storage.EvictionsRecord
 import mountmast.storage.FollowOutcome
+import mountmast.storage.ImagesRecord
 import mountmast.storage.JobRecord
 import mountmast.storage.Keys
 import mountmast.storage.StateStore
@@ -83,6 +84,7 @@
         val types = store.get(Keys.TYPES)
         val (jobs, revision) = store.listAll(Keys.JOBS)
         val (chunks, _) = store.listAll(Keys.CHUNKS)
+        val (images, _) = store.listAll(Keys.IMAGES)
         lock.withLock {
             val now = clock.now()
             types?.let { entry -> decode<MachineTypes>(entry.key, entry.value)?.let { setTypes(it) } }
@@ -97,6 +99,9 @@
                 }
                 decode<ChunkRecord>(entry.key, entry.value)?.let { ledger.loadChunk(job, number, it, entry.stamp, now) }
             }
+            for (entry in images) {
+                decode<ImagesRecord>(entry.key, entry.value)?.let { ledger.recalledImages += it.images }
+            }
             followFrom = revision
             readyAt = now
             ready = true
--- a/src/main/kotlin/mountmast/storage/Records.kt
+++ b/src/main/kotlin/mountmast/storage/Records.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import mountmast.protocol.Attempt
+import mountmast.protocol.ImageId
 import mountmast.protocol.JobId
 import mountmast.protocol.JobSpec
 import mountmast.protocol.JobStatus
@@ -22,6 +23,7 @@
     const val EVICTIONS = "evictions"
     const val JOBS = "j/"
     const val CHUNKS = "t/"
+    const val IMAGES = "images/"
 
     /** A job that is not over, or whose tasks are not all gone. Compared by whoever ends or cancels it. */
     fun job(id: JobId) = JOBS + id.text
@@ -74,6 +76,10 @@
 @Serializable
 data class EvictionsRecord(val evictions: List<EvictionRecord>)
 
+/** Which images some of the machines are thought to hold, in gigabytes; a hint that nothing depends on. */
+@Serializable
+data class ImagesRecord(@SerialName("m") val images: Map<MachineId, Map<ImageId, Double>>)
+
 /** The tasks of one chunk: those that are done, as ranges, and those that are on a machine. */
 @Serializable
 data class ChunkRecord(
