--- a/src/main/kotlin/mountmast/coordination/Ledger.kt
+++ b/src/main/kotlin/mountmast/coordination/Ledger.kt
@@ -104,6 +104,9 @@
     var runs = 0
     var runSumS = 0.0
 
+    /** Machines that this job's tasks ran slowly on. */
+    val slowOn = HashSet<MachineId>()
+
     /** Machines on which a task failed since one of the job's tasks last completed. */
     val failedOn = LinkedHashSet<MachineId>()
     var failures = 0
@@ -477,7 +480,7 @@
     private fun completedIn(machine: Machine, assignment: Assignment, runS: Double) {
         val job = assignment.job
         learnRun(job.spec.team, runS)
-        if (isSlow(job, runS)) slowTask(machine, assignment) else if (!assignment.calledSlow) machine.slowStrikes = 0
+        if (isSlow(job, machine.id, runS)) slowTask(machine, assignment) else if (!assignment.calledSlow) machine.slowStrikes = 0
         // A slow machine's run says nothing of what the job takes elsewhere.
         if (!assignment.calledSlow) {
             job.runs++
@@ -485,12 +488,20 @@
         }
     }
 
-    private fun isSlow(job: Job, runS: Double) =
-        job.runs >= RUNS_TO_COMPARE && runS > job.runSumS / job.runs * SLOW_TIMES + SLOW_EXTRA_S
+    /**
+     * Whether a run is far beyond what the job's tasks take elsewhere. The owner's estimate counts too, as a task that
+     * was seen running late seems short; and a job that finds every machine slow is simply long.
+     */
+    private fun isSlow(job: Job, machine: MachineId, runS: Double): Boolean {
+        if (job.runs < RUNS_TO_COMPARE) return false
+        if (machine !in job.slowOn && job.slowOn.size >= MOST_CALLED_SLOW) return false
+        return runS > maxOf(job.runSumS / job.runs, job.spec.estimateS) * SLOW_TIMES + SLOW_EXTRA_S
+    }
 
     private fun slowTask(machine: Machine, assignment: Assignment) {
         if (assignment.calledSlow) return
         assignment.calledSlow = true
+        assignment.job.slowOn += machine.id
         if (++machine.slowStrikes < SICK_STRIKES || machine.quarantined) return
         machine.quarantined = true
         log.info("machine {} quarantined: {} tasks in a row ran {} times as long as elsewhere", machine.id, machine.slowStrikes, SLOW_TIMES)
@@ -502,7 +513,7 @@
             if (machine.state != MachineState.UP) continue
             for (assignment in machine.live.values) {
                 val since = assignment.runningSince ?: continue
-                if (assignment.phase == Phase.COMMITTED && isSlow(assignment.job, (now - since) / 1000.0)) slowTask(machine, assignment)
+                if (assignment.phase == Phase.COMMITTED && isSlow(assignment.job, machine.id, (now - since) / 1000.0)) slowTask(machine, assignment)
             }
         }
     }
@@ -522,6 +533,7 @@
         const val SICK_STRIKES = 2
         const val RUNS_TO_COMPARE = 2
         const val SLOW_TIMES = 2.5
+        const val MOST_CALLED_SLOW = 2
         const val SLOW_EXTRA_S = 5.0
         const val UNKNOWN_RUN_S = 60.0
     }
