--- a/src/main/kotlin/mountmast/coordination/Node.kt
+++ b/src/main/kotlin/mountmast/coordination/Node.kt
@@ -5,6 +5,10 @@
 import mountmast.transport.BoundedServer
 import mountmast.transport.peerRoutes
 import mountmast.transport.publicRoutes
+import org.agrona.ErrorHandler
+import org.agrona.concurrent.Agent
+import org.agrona.concurrent.AgentRunner
+import org.agrona.concurrent.NoOpIdleStrategy
 import org.http4k.server.asServer
 import org.slf4j.LoggerFactory
 
@@ -31,22 +35,25 @@
     private fun whileLeading(name: String, step: (Reign) -> Long) =
         loop(name) { controller.reign()?.let(step) ?: IDLE_MS }
 
+    /** Repeats [step] on a thread of its own, pausing as long as it says. */
     private fun loop(name: String, step: () -> Long) {
-        val body = Runnable {
-            while (true) {
-                val pause = try {
-                    step()
-                } catch (e: InterruptedException) {
-                    return@Runnable
-                } catch (e: Exception) {
-                    // One bad answer or record must not end the work of a thread for good.
-                    log.error("{} failed", name, e)
-                    FAILED_MS
-                }
+        val agent = object : Agent {
+            override fun roleName() = name
+
+            override fun doWork(): Int {
+                val pause = step()
                 if (pause > 0) Thread.sleep(pause)
+                return 1
             }
         }
-        Thread(null, body, name, STACK_BYTES).apply { isDaemon = true }.start()
+        // One bad answer or record must not end the work of a thread for good.
+        val onError = ErrorHandler { error ->
+            log.error("{} failed", name, error)
+            Thread.sleep(FAILED_MS)
+        }
+        AgentRunner.startOnThread(AgentRunner(NoOpIdleStrategy.INSTANCE, onError, null, agent)) { task ->
+            Thread(null, task, name, STACK_BYTES).apply { isDaemon = true }
+        }
     }
 
     private companion object {
--- a/src/main/kotlin/mountmast/coordination/Reign.kt
+++ b/src/main/kotlin/mountmast/coordination/Reign.kt
@@ -325,7 +325,7 @@
         placeSoon = false
         val now = clock.now()
         releaseReservations(now)
-        emptyNoticed()
+        emptyNoticed(now)
         ledger.noticeSlow(now)
         emptyQuarantined()
         val plan = scheduler.plan(snapshot(now))
@@ -364,28 +364,23 @@
     }
 
     /** Stops what would not complete before the cloud takes its machine, so that it saves and goes on elsewhere. */
-    private fun emptyNoticed() {
+    private fun emptyNoticed(now: Moment) {
         for (machine in ledger.machines.values) {
-            if (!machine.noticed || machine.state != MachineState.UP) continue
-            for (assignment in machine.live.values) {
-                if (assignment.stopGraceS != null || assignment.phase != Phase.COMMITTED) continue
-                val remaining = resident(assignment, clock.now()).remainingS
-                if (remaining < machine.noticeS) continue
-                assignment.stopGraceS = assignment.job.spec.saveS
-                queuePost(machine.id)
-            }
+            if (machine.noticed) stopOn(machine) { resident(it, now).remainingS >= machine.noticeS }
         }
     }
 
-    /** A slow machine's tasks are better begun again elsewhere; it is returned once it is empty. */
+    /** A sick or slow machine's tasks are better begun again elsewhere; it is returned once it is empty. */
     private fun emptyQuarantined() {
-        for (machine in ledger.machines.values) {
-            if (!machine.quarantined || machine.state != MachineState.UP) continue
-            for (assignment in machine.live.values) {
-                if (assignment.stopGraceS != null || assignment.phase != Phase.COMMITTED) continue
-                assignment.stopGraceS = assignment.job.spec.saveS
-                queuePost(machine.id)
-            }
+        for (machine in ledger.machines.values) if (machine.quarantined) stopOn(machine) { true }
+    }
+
+    private inline fun stopOn(machine: Machine, which: (Assignment) -> Boolean) {
+        if (machine.state != MachineState.UP) return
+        for (assignment in machine.live.values) {
+            if (assignment.stopGraceS != null || assignment.phase != Phase.COMMITTED || !which(assignment)) continue
+            assignment.stopGraceS = assignment.job.spec.saveS
+            queuePost(machine.id)
         }
     }
 
