--- /dev/null
+++ b/src/test/kotlin/mountmast/coordination/LedgerTest.kt
@@ -0,0 +1,112 @@
+package mountmast.coordination
+
+import mountmast.protocol.ExitCause
+import mountmast.protocol.MachineId
+import mountmast.protocol.Moment
+import mountmast.protocol.ReportedTask
+import mountmast.protocol.Session
+import mountmast.protocol.Shape
+import mountmast.protocol.Stamp
+import mountmast.protocol.Tally
+import mountmast.protocol.TaskState
+import mountmast.protocol.Term
+import mountmast.protocol.TypeId
+import mountmast.protocol.WallTime
+import mountmast.protocol.WorkerReport
+import mountmast.protocol.Zone
+import mountmast.standin.World
+import mountmast.storage.JobRecord
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class LedgerTest {
+    private val ledger = Ledger(16, 0.7)
+    private val spec = World(1).job(1) { it.copy(shape = Shape.ARRAY, tasks = 20, estimateS = 1.0) }
+    private val job = ledger.putJob(JobRecord(spec, WallTime(0)), Stamp(1u), Moment(0))
+    private var tally = 0uL
+
+    private fun report(machine: String, at: Long, vararg tasks: ReportedTask, session: ULong = 1u): Boolean = ledger.report(
+        WorkerReport(
+            MachineId(machine), "127.0.0.1:1", TypeId("s"), Zone("a"), false, Session(session), Tally(++tally), Term(0u), null, tasks.toList(),
+        ),
+        Moment(at),
+    )
+
+    private fun place(index: Int, machine: String, at: Long): Assignment =
+        ledger.assign(job, index, ledger.machines.getValue(MachineId(machine)), Moment(at)).apply { phase = Phase.COMMITTED }
+
+    private fun Assignment.shown(state: TaskState, cause: ExitCause? = null) = ReportedTask(taskName, attempt, state, cause)
+
+    @Test
+    fun `a report that lacks a task, or is old, ends nothing`() {
+        report("vm-1", 0)
+        val assignment = place(0, "vm-1", 0)
+        assertTrue(report("vm-1", 100))
+        assertEquals(Phase.COMMITTED, assignment.phase)
+        tally = 0u
+        assertFalse(report("vm-1", 200, assignment.shown(TaskState.EXITED, ExitCause.DONE)))
+        assertEquals(Phase.COMMITTED, assignment.phase)
+    }
+
+    @Test
+    fun `what ended counts until the store has it`() {
+        report("vm-1", 0)
+        val assignment = place(0, "vm-1", 0)
+        report("vm-1", 100, assignment.shown(TaskState.EXITED, ExitCause.STOPPED))
+        assertEquals(Phase.ENDED, assignment.phase)
+        assertEquals(spec.cpus, ledger.use(spec.team).cpus)
+        assertFalse(job.open.get(0))
+        ledger.release(assignment, Moment(200))
+        assertEquals(0.0, ledger.use(spec.team).cpus)
+        assertTrue(job.open.get(0))
+        assertTrue(place(0, "vm-1", 300).attempt > assignment.attempt, "attempts are never reused")
+    }
+
+    @Test
+    fun `a new session ends the tasks of the one before and has a lease of its own`() {
+        // A worker once told of its next session in the answer to a direct command, and was called dead too early.
+        report("vm-1", 0)
+        val assignment = place(0, "vm-1", 0)
+        report("vm-1", 50_000, session = 2u)
+        assertEquals(Phase.ENDED, assignment.phase)
+        assertEquals(Moment(50_000), ledger.machines.getValue(MachineId("vm-1")).answeredAt)
+    }
+
+    @Test
+    fun `a deleted machine is not brought back by a late report`() {
+        report("vm-1", 0)
+        ledger.buryMachine(MachineId("vm-1"), Moment(100))
+        assertFalse(report("vm-1", 200))
+        assertTrue(ledger.machines.isEmpty())
+    }
+
+    @Test
+    fun `a job that finds every machine slow has only two of them replaced`() {
+        fun runOn(machine: String, index: Int, ms: Long) {
+            val from = index * 100_000L
+            report(machine, from)
+            val assignment = place(index, machine, from)
+            report(machine, from, assignment.shown(TaskState.RUNNING))
+            report(machine, from + ms, assignment.shown(TaskState.EXITED, ExitCause.DONE))
+            ledger.release(assignment, Moment(from + ms))
+        }
+        repeat(2) { runOn("vm-0", it, 1000) }
+        for (number in 1..4) repeat(2) { runOn("vm-$number", number * 2 + it, 60_000) }
+        assertEquals(listOf("vm-1", "vm-2"), ledger.machines.values.filter { it.quarantined }.map { it.id.text })
+    }
+
+    @Test
+    fun `an attempt that fails everywhere is the job's fault, not the machine's`() {
+        for (number in 1..4) {
+            report("vm-$number", number * 1000L)
+            val assignment = place(number, "vm-$number", number * 1000L)
+            report("vm-$number", number * 1000L + 10, assignment.shown(TaskState.EXITED, ExitCause.FAILED))
+        }
+        assertTrue(job.poisoned)
+        assertTrue(job.notBefore > Moment(4000))
+        assertTrue(ledger.machines.values.none { it.quarantined })
+        assertTrue(ledger.machines.getValue(MachineId("vm-4")).strikes.isEmpty())
+    }
+}
