A node is ready unless another can serve what it cannot

Cause: nodes restarted during an outage of the state service did not know the machine types and called themselves unready although no node could serve; the balancer then passes over them for longer.

--- a/src/main/kotlin/mountmast/coordination/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/Controller.kt
@@ -53,6 +53,9 @@
     private val hellos = ConcurrentHashMap<NodeId, Pair<PeerHello, Long>>()
     private var stepsSinceTypes = 0
 
+    @Volatile
+    private var greeted = false
+
     /** The reign to work in, or null while this node does not lead. */
     fun reign(): Reign? = office.get()?.reign?.takeIf { it.ready }
 
@@ -61,7 +64,7 @@
         leadership.step()
         val reign = office.get()?.reign
         // Cut off from the workers alone, this node would renew for ever while every worker's lease runs out.
-        if (reign != null && reign.deafToWorkers() && freshHellos().any { it.reachesState }) {
+        if (reign != null && reign.deafToWorkers() && freshHellos().any { it.serves }) {
             leadership.resign(reign.mandate, "hardly any worker gets through to this node")
         }
         syncOffice()
@@ -149,6 +152,7 @@
     /** Greets the other nodes. */
     fun greet() {
         for (member in settings.members) peers.hello(member, ownHello())?.let(::note)
+        greeted = true
     }
 
     override fun hello(from: PeerHello): PeerHello {
@@ -162,20 +166,26 @@
     }
 
     private fun ownHello() = PeerHello(
-        settings.node.text, leadership.highestTerm().number.toLong(), store.reachable, leadership.mandate() != null,
+        settings.node.text, leadership.highestTerm().number.toLong(), canServe(), leadership.mandate() != null,
     )
 
     private fun freshHellos() = hellos.values.filter { (_, at) -> clock.now().ms - at < HELLO_FRESH_MS }.map { it.first }
 
     private fun relay(request: RelayRequest): UserAnswer? {
-        val able = freshHellos().firstOrNull { it.reachesState } ?: return null
+        val able = freshHellos().firstOrNull { it.serves } ?: return null
         val member = settings.members.firstOrNull { it.node.text == able.node } ?: return null
         val answer = peers.relay(member, request) ?: return null
         return UserAnswer(answer.status, answer.body, answer.retryAfterS)
     }
 
-    /** Users are sent elsewhere only if some other node can serve what this one cannot. */
-    private fun ready(): Boolean = desk.knowsTypes && (store.reachable || freshHellos().none { it.reachesState })
+    private fun canServe() = desk.knowsTypes && store.reachable
+
+    /**
+     * Users are sent elsewhere only if some other node can serve what this one cannot. Where all are blocked alike,
+     * a node that called itself unready would only be passed over for longer once the trouble is past; and one that
+     * has not asked the others yet cannot tell.
+     */
+    private fun ready(): Boolean = canServe() || (greeted && freshHellos().none { it.serves })
 
     private companion object {
         const val CONFIRMED_MS = 2500L
--- a/src/main/kotlin/mountmast/protocol/PeerMessages.kt
+++ b/src/main/kotlin/mountmast/protocol/PeerMessages.kt
@@ -9,8 +9,8 @@
     @ProtoNumber(1) val node: String,
     /** Highest term this node has seen. */
     @ProtoNumber(2) val term: Long,
-    /** Whether this node reached the state service lately. */
-    @ProtoNumber(3) val reachesState: Boolean,
+    /** Whether this node reaches the state service and knows the machine types. */
+    @ProtoNumber(3) val serves: Boolean,
     /** Whether this node leads in [term]. */
     @ProtoNumber(4) val leads: Boolean,
 )
--- a/src/test/kotlin/mountmast/coordination/RecoveryTest.kt
+++ b/src/test/kotlin/mountmast/coordination/RecoveryTest.kt
@@ -154,4 +154,22 @@
         world.expectDone(listOf(world.accept(job)), 150_000)
         assertTrue(world.store.largestValue < 2048, "${world.store.largestValue} bytes")
     }
+
+    @Test
+    fun `a node is unready only while another can serve what it cannot`() {
+        val world = World(31, quietNetwork = true)
+        world.accept(world.plain(1))
+        val users = world.seats.map { it.controller!!.users }
+        assertTrue(users.all { it.ready() })
+        world.seats[0].trouble.storeRefusedUntil = world.time.now + 8000
+        world.run(5000, busy = false)
+        assertEquals(listOf(false, true, true), users.map { it.ready() })
+        assertEquals(200, world.seats[0].controller!!.users.status("j-000001", relayed = false).status, "passed on to a peer")
+        world.run(10_000, busy = false)
+        world.store.outage(10_000)
+        world.run(7000, busy = false)
+        assertTrue(users.all { it.ready() })
+        val refused = users[0].submit("""{"nameId":"j-7"}""", relayed = false)
+        assertEquals(503 to true, refused.status to (refused.retryAfterS > 0))
+    }
 }
