--- a/src/test/kotlin/mountmast/coordination/RecoveryTest.kt
+++ b/src/test/kotlin/mountmast/coordination/RecoveryTest.kt
@@ -63,6 +63,17 @@
         assertTrue(!sick.alive, "the sick machine is still rented")
     }
 
+    @Test
+    fun `a slow machine is quarantined and returned, and its tasks get done elsewhere`() {
+        val world = World(32, quietNetwork = true)
+        world.expectDone((1..3).map { world.accept(world.plain(it)) }, 30_000)
+        val slow = world.cloud.workers.first { it.alive }.apply { slowTimes = 20 }
+        // Longer than the others, so that the job knows what its tasks take elsewhere.
+        val jobs = (4..9).map { world.accept(world.plain(it) { spec -> spec.copy(tasks = 8) }) }
+        world.expectDone(jobs, 90_000)
+        assertTrue(!slow.alive, "the slow machine is still rented")
+    }
+
     @Test
     fun `a wave of spot losses without notice is made good`() {
         val world = World(23)
--- a/src/test/kotlin/mountmast/standin/StandInWorker.kt
+++ b/src/test/kotlin/mountmast/standin/StandInWorker.kt
@@ -48,6 +48,9 @@
     private val place = Place(id, type.id, zone, spot)
     val address = "$id:9000"
     var sick = false
+
+    /** How many times as long tasks take here. */
+    var slowTimes = 1L
     var cutUntil = 0L
     var hangUntil = 0L
     var noticeEndsAt: Long? = null
@@ -95,7 +98,7 @@
 
     private fun begin(task: TaskId, it: Running) {
         it.state = TaskState.RUNNING
-        it.leftMs = (it.spec.estimateS * 1000).toLong() + 500
+        it.leftMs = ((it.spec.estimateS * 1000).toLong() + 500) * slowTimes
         rules.taskStarts(task, place, time.now)
         if (sick || poisoned(task.job)) exit(task, it, ExitCause.FAILED)
     }
--- a/src/test/kotlin/mountmast/standin/World.kt
+++ b/src/test/kotlin/mountmast/standin/World.kt
@@ -271,7 +271,7 @@
         val seat = seats.random(random)
         val ms = random.nextLong(1000, 30_000)
         val worker = cloud.workers.filter { it.alive }.randomOrNull(random)
-        when (random.nextInt(13)) {
+        when (random.nextInt(14)) {
             0 -> seat.crash(if (random.nextBoolean()) 100L else 4000L)
             1 -> seat.trouble.dieAtNextCall = true
             2 -> seats.forEach { it.crash(random.nextLong(50, 4000)) }
@@ -287,6 +287,7 @@
                 taken.noticeEndsAt = time.now + 3000
                 time.later(random.nextLong(0, 3000)) { cloud.take(taken.id) }
             }
+            12 -> worker?.slowTimes = 6
             else -> worker?.sick = true
         }
     }
