--- a/src/main/kotlin/mountmast/coordination/JobDesk.kt
+++ b/src/main/kotlin/mountmast/coordination/JobDesk.kt
@@ -2,6 +2,7 @@
 
 import com.google.common.cache.Cache
 import com.google.common.cache.CacheBuilder
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.decodeFromJsonElement
@@ -35,8 +36,11 @@
 import mountmast.transport.UserAnswer
 import mountmast.transport.UserService
 import mountmast.transport.refusal
+import org.slf4j.LoggerFactory
 import java.util.BitSet
 
+private val log = LoggerFactory.getLogger("mountmast.desk")
+
 /**
  * Serves users on any node. The store is the truth: a job is called accepted, done or cancelled only after it says
  * so, and what is not final is read from it each time.
@@ -162,6 +166,10 @@
         serve()
     } catch (e: StoreTrouble) {
         (if (relayed) null else relay(request)) ?: later("the state service does not answer")
+    } catch (e: SerializationException) {
+        // Not the user's fault, so it must not look like a malformed request.
+        log.error("unreadable record for {}: {}", request.path, e.message)
+        later("the job's record cannot be read")
     }
 
     private fun record(entry: Entry) = WireJson.decodeFromJsonElement<JobRecord>(entry.value)
--- a/src/main/kotlin/mountmast/transport/Peers.kt
+++ b/src/main/kotlin/mountmast/transport/Peers.kt
@@ -8,6 +8,9 @@
 import mountmast.protocol.PeerHello
 import mountmast.protocol.RelayAnswer
 import mountmast.protocol.RelayRequest
+import org.slf4j.LoggerFactory
+
+private val log = LoggerFactory.getLogger("mountmast.peers")
 
 /** The other controller nodes. Calls return null where no sensible answer came. */
 interface Peers {
@@ -19,16 +22,17 @@
 @OptIn(kotlinx.serialization.ExperimentalSerializationApi::class)
 class HttpPeers(private val caller: HttpCaller = HttpCaller(connectMs = 500)) : Peers {
     override fun hello(to: Member, hello: PeerHello): PeerHello? =
-        call(to, PeerPaths.HELLO, ProtoBuf.encodeToByteArray(hello), HELLO_MS)?.let { ProtoBuf.decodeFromByteArray<PeerHello>(it) }
+        call(to, PeerPaths.HELLO, ProtoBuf.encodeToByteArray(hello), HELLO_MS) { ProtoBuf.decodeFromByteArray<PeerHello>(it) }
 
     override fun relay(to: Member, request: RelayRequest): RelayAnswer? =
-        call(to, PeerPaths.RELAY, ProtoBuf.encodeToByteArray(request), RELAY_MS)?.let { ProtoBuf.decodeFromByteArray<RelayAnswer>(it) }
+        call(to, PeerPaths.RELAY, ProtoBuf.encodeToByteArray(request), RELAY_MS) { ProtoBuf.decodeFromByteArray<RelayAnswer>(it) }
 
-    private fun call(to: Member, path: String, body: ByteArray, waitMs: Int): ByteArray? = try {
-        caller.call(to.endpoint, "POST", path, body, waitMs, "application/x-protobuf").takeIf { it.ok }?.bytes
+    private fun <T> call(to: Member, path: String, body: ByteArray, waitMs: Int, decode: (ByteArray) -> T): T? = try {
+        caller.call(to.endpoint, "POST", path, body, waitMs, "application/x-protobuf").takeIf { it.ok }?.let { decode(it.bytes) }
     } catch (e: NoAnswer) {
         null
     } catch (e: SerializationException) {
+        log.warn("malformed answer of {}: {}", to.node, e.message)
         null
     }
 
--- /dev/null
+++ b/src/test/kotlin/mountmast/transport/PeersTest.kt
@@ -0,0 +1,41 @@
+package mountmast.transport
+
+import com.sun.net.httpserver.HttpServer
+import mountmast.protocol.Member
+import mountmast.protocol.NodeId
+import mountmast.protocol.PeerHello
+import mountmast.protocol.Zone
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
+import java.net.InetAddress
+import java.net.InetSocketAddress
+
+class PeersTest {
+    @Test
+    fun `a greeting is answered, and nonsense or silence counts as no answer`() {
+        var nonsense = false
+        val own = PeerHello("n-2", 7, serves = true, leads = false)
+        val server = HttpServer.create(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0)
+        val users = object : UserService {
+            override fun submit(body: String, relayed: Boolean) = UserAnswer(201, "{}")
+            override fun status(id: String, relayed: Boolean) = UserAnswer(404, "{}")
+            override fun cancel(id: String, relayed: Boolean) = UserAnswer(200, "{}")
+            override fun ready() = true
+        }
+        val real = org.http4k.server.HttpExchangeHandler(peerRoutes(users) { own })
+        server.createContext("/") { exchange ->
+            if (!nonsense) return@createContext real.handle(exchange)
+            exchange.sendResponseHeaders(200, 3)
+            exchange.responseBody.use { it.write(byteArrayOf(-1, -1, -1)) }
+        }
+        server.start()
+        val member = Member(NodeId("n-2"), Zone("a"), InetSocketAddress(InetAddress.getLoopbackAddress(), server.address.port))
+        val hello = PeerHello("n-1", 3, serves = false, leads = true)
+        assertEquals(own, HttpPeers().hello(member, hello))
+        nonsense = true
+        assertNull(HttpPeers().hello(member, hello))
+        server.stop(0)
+        assertNull(HttpPeers().hello(member, hello))
+    }
+}
