--- a/src/main/kotlin/mountmast/coordination/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/Controller.kt
@@ -7,7 +7,6 @@
 import mountmast.protocol.Settings
 import mountmast.protocol.Term
 import mountmast.protocol.WorkerReport
-import mountmast.storage.ChunkRecord
 import mountmast.storage.StateStore
 import mountmast.storage.StoreTrouble
 import mountmast.transport.BeatOutcome
@@ -63,10 +62,9 @@
     fun lead() {
         leadership.step()
         val reign = office.get()?.reign
-        // Cut off from the workers alone, this node would renew for ever while every worker's lease runs out.
-        if (reign != null && reign.deafToWorkers() && freshHellos().any { it.serves }) {
-            leadership.resign(reign.mandate, "hardly any worker gets through to this node")
-        }
+        // Cut off from the workers alone, in either direction, this node would renew for ever while their leases run out.
+        val why = reign?.unfit()
+        if (reign != null && why != null && freshHellos().any { it.serves }) leadership.resign(reign.mandate, why)
         syncOffice()
         try {
             if (!desk.knowsTypes || stepsSinceTypes++ >= TYPES_STEPS) {
@@ -78,6 +76,9 @@
         }
     }
 
+    /** Waits while another node leads; false where there is nothing to wait for. */
+    fun awaitVacancy(waitMs: Long): Boolean = leadership.awaitVacancy(waitMs)
+
     private fun syncOffice() {
         val mandate = leadership.mandate()
         val current = office.get()
@@ -93,10 +94,8 @@
             return
         }
         store.shareAs(leader = true)
-        val reign = Reign(
-            mandate, store, workers, settings.teams, policy, timing, clock, ChunkRecord.tasksPerChunk(settings.valueKb),
-        )
-        val writer = LedgerWriter(reign, store, settings.txnOps, clock) { leadership.lost() }
+        val reign = Reign(mandate, store, workers, settings.teams, policy, timing, clock)
+        val writer = LedgerWriter(reign, store, WriteLimits(settings.valueKb, settings.txnOps), clock) { leadership.lost() }
         val fleet = Fleet(reign, cloud, clock, "${settings.node}-$run-${mandate.term}", fleetPolicy)
         office.set(Office(reign, writer, fleet))
         load(reign)
--- a/src/main/kotlin/mountmast/coordination/Fleet.kt
+++ b/src/main/kotlin/mountmast/coordination/Fleet.kt
@@ -110,7 +110,7 @@
             machine.knownAt = now
             machine.address = listed.address
             machine.answeredAt = known?.answeredAt ?: now
-            known?.live?.let { machine.live.putAll(it) }
+            known?.let(machine::takeOver)
             ledger.recalledImages.remove(listed.id)?.let(machine::recallImages)
             machine.listedRunning = listed.state == ListedState.RUNNING
             ledger.machines[listed.id] = machine
@@ -142,6 +142,7 @@
             machine.listedFailed -> "failed"
             machine.state == MachineState.EXPIRED -> "silent"
             machine.quarantined -> "sick"
+            machine.unreachedSince != null -> "hears nothing"
             machine.state == MachineState.BOOTING -> "never came up"
             machine.noticed -> "to be taken"
             else -> "idle"
@@ -165,13 +166,19 @@
                 now - maxOf(machine.rentedAt, machine.knownAt + -bootMs) > BOOT_PATIENCE * bootMs + BOOT_EXTRA_MS
             MachineState.UP -> {
                 val empty = machine.live.isEmpty()
-                machine.listedFailed || (empty && (machine.quarantined || machine.noticed)) ||
+                machine.listedFailed || unreachedForGood(machine, now) || (empty && (machine.quarantined || machine.noticed)) ||
                     (empty && machine.reservedFor == null && now - machine.idleSince > idleReturnMs(machine, type) &&
                         now - machine.rentedAt > LEAST_PAID_MS)
             }
         }
     }
 
+    /** Its tasks are free once it is deleted; but where hardly any worker hears us, it is not the machines. */
+    private fun unreachedForGood(machine: Machine, now: Moment): Boolean {
+        val since = machine.unreachedSince ?: return false
+        return now - since > reign.unreachedPatienceMs && !reign.manyUnreached()
+    }
+
     /** What takes long to boot is kept longer, and what costs more than need be is not. */
     private fun idleReturnMs(machine: Machine, type: MachineType): Long {
         val kept = maxOf(policy.idleReturnMs, (2 * type.bootS * 1000).toLong())
@@ -181,12 +188,19 @@
     private fun rent(now: Moment) {
         unsettled?.let { return settle(it, now) }
         val wishes = reign.lock.withLock { wishes(now) }
-        for ((offer, count) in wishes) {
-            val id = RentalId("$rentalPrefix-${++rentals}")
-            settle(RentalRequest(id, offer.type, offer.zone, offer.spot, minOf(count, Cloud.MOST_PER_RENTAL)), now)
+        for ((offer, wanted) in wishes) {
+            var left = wanted
+            while (left > 0 && !pauses(offer, now)) {
+                val count = minOf(left, Cloud.MOST_PER_RENTAL)
+                val id = RentalId("$rentalPrefix-${++rentals}")
+                settle(RentalRequest(id, offer.type, offer.zone, offer.spot, count), now)
+                left -= count
+            }
         }
     }
 
+    private fun pauses(offer: Offer, now: Moment) = unavailable[offer].let { it != null && now < it }
+
     private fun settle(request: RentalRequest, now: Moment) {
         val offer = Offer(request.type, request.zone, request.spot)
         unsettled = request
@@ -219,19 +233,20 @@
     /** What to rent: machines for the waiting tasks that those still booting will not have room for. */
     private fun wishes(now: Moment): Map<Offer, Int> {
         losses.replaceAll { _, lost -> lost * LOSS_DECAY }
-        val rooms = ledger.machines.values
-            .filter { it.state == MachineState.BOOTING && !it.deleting && !it.listedRunning }
+        val rooms = ledger.machines.values.filter { comesSoon(it, now) }
             .mapNotNull { machine -> offerOf(machine)?.let { offer -> ledger.types[offer.type]?.let { Planned(offer, it.capacity) } } }
             .toMutableList()
         val wishes = LinkedHashMap<Offer, Int>()
+        var wished = 0
         for (waits in reign.waiting) {
             val job = ledger.jobs[waits.job] ?: continue
             if (job.poisoned) continue
             var left = waits.tasks
             for (room in rooms) left -= room.take(job, left)
-            while (left > 0 && wishes.values.sum() < MOST_WISHES) {
+            while (left > 0 && wished < MOST_WISHES) {
                 val (offer, type) = bestOffer(job, left, now) ?: break
                 wishes.merge(offer, 1, Int::plus)
+                wished++
                 val room = Planned(offer, type.capacity)
                 rooms += room
                 val taken = room.take(job, left)
@@ -242,6 +257,13 @@
         return wishes
     }
 
+    /** Whether it boots, or its worker has yet to show our token: no pass has given it work so far. */
+    private fun comesSoon(machine: Machine, now: Moment): Boolean = !machine.deleting && !machine.noticed && when (machine.state) {
+        MachineState.BOOTING -> !machine.listedRunning || now - machine.knownAt < SOON_HEARD_MS
+        MachineState.UP -> !machine.sawTerm && machine.live.isEmpty() && now - machine.sessionSince < SOON_HEARD_MS
+        else -> false
+    }
+
     private class Planned(val offer: Offer, var room: Resources) {
         fun take(job: Job, most: Int): Int {
             if (most <= 0 || !allows(job, offer)) return 0
@@ -259,7 +281,7 @@
             if (slots == 0) continue
             for (zone in type.zones) for (spot in listOf(true, false)) {
                 val offer = Offer(type.id, zone, spot)
-                if (!allows(job, offer) || unavailable[offer].let { it != null && now < it }) continue
+                if (!allows(job, offer) || pauses(offer, now)) continue
                 val price = (if (spot) type.spotPrice else type.price) * (1 + (losses[offer] ?: 0.0) * LOSS_WEIGHT)
                 val cost = price / slots
                 if (cost < bestCost) {
@@ -287,6 +309,9 @@
         const val TOMBSTONE_MS = 600_000L
         const val LOSS_DECAY = 0.99
         const val LOSS_WEIGHT = 0.1
-        const val MOST_WISHES = 40
+        const val MOST_WISHES = 200
+
+        /** A machine that was running when this leader came reports within this time, or never. */
+        const val SOON_HEARD_MS = 8000L
     }
 }
--- a/src/main/kotlin/mountmast/coordination/JobDesk.kt
+++ b/src/main/kotlin/mountmast/coordination/JobDesk.kt
@@ -2,7 +2,6 @@
 
 import com.google.common.cache.Cache
 import com.google.common.cache.CacheBuilder
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.decodeFromJsonElement
@@ -21,14 +20,12 @@
 import mountmast.protocol.TeamId
 import mountmast.protocol.TeamQuota
 import mountmast.protocol.WireJson
-import mountmast.storage.ChunkRecord
 import mountmast.storage.CommitOutcome
 import mountmast.storage.Condition
 import mountmast.storage.Entry
 import mountmast.storage.JobRecord
 import mountmast.storage.Keys
 import mountmast.storage.OverRecord
-import mountmast.storage.Ranges
 import mountmast.storage.StateStore
 import mountmast.storage.StoreTrouble
 import mountmast.storage.Transaction
@@ -37,7 +34,6 @@
 import mountmast.transport.UserService
 import mountmast.transport.refusal
 import org.slf4j.LoggerFactory
-import java.util.BitSet
 
 private val log = LoggerFactory.getLogger("mountmast.desk")
 
@@ -60,6 +56,8 @@
     /** Final states never change, so they may be answered from memory. */
     private val over: Cache<JobId, OverRecord> = CacheBuilder.newBuilder().maximumSize(MOST_REMEMBERED).build()
 
+    private val progress = ProgressBoard(store, clock)
+
     /** Reads the machine types that the leader has stored. */
     fun refreshTypes() {
         val entry = store.get(Keys.TYPES) ?: return
@@ -142,15 +140,9 @@
     private fun describe(record: JobRecord): UserAnswer {
         val id = record.spec.id
         if (record.cancelled) return known(id, remember(id, record))
-        val done = BitSet()
-        var running = 0
-        for (entry in store.list("${Keys.CHUNKS}$id/").entries) {
-            val chunk = WireJson.decodeFromJsonElement<ChunkRecord>(entry.value)
-            Ranges.decodeInto(chunk.done, done)
-            running += chunk.live.size
-        }
-        val status = if (running > 0) JobStatus.RUNNING else JobStatus.PENDING
-        return UserAnswer(200, encode(JobAnswer(id, status, done.cardinality(), running)))
+        val progress = progress.of(id)
+        val status = if (progress.running > 0) JobStatus.RUNNING else JobStatus.PENDING
+        return UserAnswer(200, encode(JobAnswer(id, status, progress.done, progress.running)))
     }
 
     private fun remember(id: JobId, record: JobRecord): OverRecord =
@@ -166,7 +158,7 @@
         serve()
     } catch (e: StoreTrouble) {
         (if (relayed) null else relay(request)) ?: later("the state service does not answer")
-    } catch (e: SerializationException) {
+    } catch (e: IllegalArgumentException) {
         // Not the user's fault, so it must not look like a malformed request.
         log.error("unreadable record for {}: {}", request.path, e.message)
         later("the job's record cannot be read")
--- a/src/main/kotlin/mountmast/coordination/Leadership.kt
+++ b/src/main/kotlin/mountmast/coordination/Leadership.kt
@@ -1,17 +1,18 @@
 package mountmast.coordination
 
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.decodeFromJsonElement
 import kotlinx.serialization.json.encodeToJsonElement
 import mountmast.protocol.Clock
 import mountmast.protocol.HoldId
 import mountmast.protocol.Moment
 import mountmast.protocol.NodeId
+import mountmast.protocol.Revision
 import mountmast.protocol.Stamp
 import mountmast.protocol.Term
 import mountmast.protocol.WireJson
 import mountmast.storage.CommitOutcome
 import mountmast.storage.Condition
+import mountmast.storage.FollowOutcome
 import mountmast.storage.HoldEnded
 import mountmast.storage.Keys
 import mountmast.storage.LeaderRecord
@@ -84,6 +85,7 @@
     private var troubledSince: Moment? = null
     private var abstainUntil = Moment(Long.MIN_VALUE)
     private var spareHold: HoldId? = null
+    private var seenUpTo = Revision(0u)
 
     fun mandate(): Mandate? = lock.withLock { mandate }
     fun leader(): NodeId? = lock.withLock { if (mandate != null) node else leader }
@@ -153,6 +155,23 @@
         }
     }
 
+    /**
+     * Waits up to [waitMs] while another node leads, and returns as soon as its key is gone, so that the workers'
+     * leases run out as little as can be; false where this node need not wait for that.
+     */
+    fun awaitVacancy(waitMs: Long): Boolean {
+        val from = lock.withLock { seenUpTo.takeIf { mandate == null && leader != null && leader != node && it.number > 0u } }
+        if (from == null || clock.now() < abstainUntil) return false
+        return try {
+            val outcome = store.follow(Keys.LEADER, from, waitMs)
+            if (outcome is FollowOutcome.Changes) lock.withLock { seenUpTo = outcome.upTo }
+            true
+        } catch (e: StoreTrouble) {
+            log.debug("following the leader's key: {}", e.message)
+            false
+        }
+    }
+
     private fun renew(own: Mandate) {
         val asked = clock.now()
         if (!store.renewHold(own.hold)) return lost()
@@ -175,8 +194,11 @@
             return
         }
         // This node's earlier process is dead, or this one would not run: its place can be taken at once.
-        if (record != null && record.node != node) {
-            lock.withLock { leader = record.node }
+        if (entry != null && record != null && record.node != node) {
+            lock.withLock {
+                leader = record.node
+                seenUpTo = maxOf(seenUpTo, Revision(entry.stamp.number))
+            }
             return
         }
         if (clock.now() >= abstainUntil) elect(entry?.stamp ?: Stamp.ABSENT)
@@ -224,7 +246,7 @@
 
     private fun decode(value: kotlinx.serialization.json.JsonElement): LeaderRecord? = try {
         WireJson.decodeFromJsonElement<LeaderRecord>(value)
-    } catch (e: SerializationException) {
+    } catch (e: IllegalArgumentException) {
         null
     }
 }
--- a/src/main/kotlin/mountmast/coordination/Ledger.kt
+++ b/src/main/kotlin/mountmast/coordination/Ledger.kt
@@ -1,5 +1,6 @@
 package mountmast.coordination
 
+import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap
 import mountmast.protocol.Attempt
 import mountmast.protocol.ExitCause
@@ -17,14 +18,16 @@
 import mountmast.protocol.TaskId
 import mountmast.protocol.TaskState
 import mountmast.protocol.TeamId
+import mountmast.protocol.Term
 import mountmast.protocol.TypeId
 import mountmast.protocol.WallTime
 import mountmast.protocol.WorkerReport
 import mountmast.protocol.Zone
-import mountmast.storage.ChunkRecord
 import mountmast.storage.JobRecord
-import mountmast.storage.LiveRecord
+import mountmast.storage.JournalReader
+import mountmast.storage.JournalText
 import mountmast.storage.Ranges
+import mountmast.storage.TaskEnd
 import org.slf4j.LoggerFactory
 import java.util.BitSet
 
@@ -40,6 +43,9 @@
 
     /** Known to be off its machine, but the store still lists it: counts until the store does not. */
     ENDED,
+
+    /** Counts no more. */
+    RELEASED,
 }
 
 /** A task on a machine, in one session and attempt. */
@@ -53,8 +59,10 @@
     var phase: Phase,
     val placedAt: Moment,
 ) {
-    val task = TaskId(job.id, index)
-    val taskName = task.toString()
+    val taskName = "${job.id}/$index"
+
+    /** What names it to the worker. */
+    val key = taskName to attempt
 
     /** Last state that the worker reported, or null before the first report that shows it. */
     var reported: TaskState? = null
@@ -64,6 +72,13 @@
     var stopGraceS: Double? = null
     var completed = false
 
+    /** Whether it is stopped to make room for another. */
+    var evicted = false
+
+    /** Whether a transaction that lists it is on its way, and whether one was carried out. */
+    var beingWritten = false
+    var written = false
+
     var calledSlow = false
 
     /** Direct commands with its start that wait for their answer. */
@@ -73,21 +88,20 @@
     var startedInBeat: Tally? = null
 }
 
-/** A block of tasks that share one record. */
-class Chunk(val number: Int) {
-    var dirtySince = Moment(0)
-    var stamp = Stamp.ABSENT
-    var nextAttempt = Attempt(1u)
-    var preemptions = 0
-
-    /** Rises with every change; equal to [writtenVersion] while the store has all of it. */
-    var version = 0L
-    var writtenVersion = 0L
-    val dirty: Boolean get() = version != writtenVersion
+/** What the journal does not say yet, in the order in which it happened. */
+sealed interface Unwritten {
+    /** [assignment] was decided; its start may be sent once this is written. */
+    class Started(val assignment: Assignment) : Unwritten
+
+    /** [assignment] is off its machine; it counts until this is written. */
+    class Ended(val assignment: Assignment) : Unwritten
+
+    /** [machine] is kept for [job], and [victims] are stopped for that. */
+    class Reserved(val machine: MachineId, val job: JobId, val victims: List<String>) : Unwritten
 }
 
 /** A job that is not over. */
-class Job(val spec: JobSpec, val submitted: WallTime, var stamp: Stamp, private val tasksPerChunk: Int) {
+class Job(val spec: JobSpec, val submitted: WallTime, var stamp: Stamp) {
     val id: JobId get() = spec.id
     val perTask: Resources = spec.perTask
     var cancelled = false
@@ -97,8 +111,14 @@
 
     /** Tasks that may be placed: neither done nor assigned. */
     val open = BitSet(spec.tasks).apply { set(0, spec.tasks) }
+    var openCount = spec.tasks
+        private set
+    var doneCount = 0
+        private set
     val live = Int2ObjectOpenHashMap<Assignment>()
-    val chunks = Int2ObjectOpenHashMap<Chunk>()
+
+    /** How often each of its tasks gave way to others. */
+    val evictions = Int2IntOpenHashMap()
 
     /** Runs of its completed tasks. */
     var runs = 0
@@ -118,35 +138,37 @@
     var lastStallReport: Moment? = null
     var calledLate = false
 
-    /** Fails wherever it runs: backed off, and without a claim on the guarantee. */
-    val poisoned: Boolean get() = failedOn.size >= POISON_MACHINES
+    /**
+     * Fails wherever it runs: backed off, and without a claim on the guarantee. A job with a mistake never completes
+     * a task, so one that has is only unlucky with its machines.
+     */
+    val poisoned: Boolean get() = doneCount == 0 && failedOn.size >= POISON_MACHINES
 
-    val isComplete: Boolean get() = spec.shape == Shape.ARRAY && done.cardinality() == spec.tasks
+    val isComplete: Boolean get() = spec.shape == Shape.ARRAY && doneCount == spec.tasks
 
-    fun chunkOf(index: Int): Chunk {
-        val number = index / tasksPerChunk
-        return chunks.get(number) ?: Chunk(number).also { chunks.put(number, it) }
-    }
+    /** Whether every assignment is known to have ended. */
+    fun nothingLives() = live.values.all { it.phase == Phase.ENDED }
 
-    fun markDirty(index: Int, now: Moment) {
-        val chunk = chunkOf(index)
-        if (!chunk.dirty) chunk.dirtySince = now
-        chunk.version++
+    /** The first [count] open tasks. */
+    fun firstOpen(count: Int): IntArray {
+        var index = -1
+        return IntArray(count) {
+            index = open.nextSetBit(index + 1)
+            index
+        }
     }
 
-    /** Whether every assignment is known to have ended. */
-    fun nothingLives() = live.values.all { it.phase == Phase.ENDED }
+    fun setDone(index: Int) {
+        if (done.get(index)) return
+        done.set(index)
+        doneCount++
+        setOpen(index, false)
+    }
 
-    /** The record of [chunk] as it should be in the store. */
-    fun record(chunk: Chunk): ChunkRecord {
-        val from = chunk.number * tasksPerChunk
-        val until = minOf(from + tasksPerChunk, spec.tasks)
-        val lives = live.values.filter { it.index in from until until && it.phase != Phase.ENDED }.sortedBy { it.index }
-        return ChunkRecord(
-            Ranges.encode(done, from, until),
-            lives.map { LiveRecord(it.index, it.machine, it.session, it.attempt, it.zone).encode() },
-            chunk.nextAttempt, chunk.preemptions,
-        )
+    fun setOpen(index: Int, isOpen: Boolean) {
+        if (open.get(index) == isOpen) return
+        open.set(index, isOpen)
+        openCount += if (isOpen) 1 else -1
     }
 
     companion object {
@@ -155,6 +177,18 @@
     }
 }
 
+/** Where the journal stands in the store. */
+class JournalState {
+    /** Number of the next record. */
+    var next = 1L
+
+    /** What the latest whole snapshot holds, and which it is. */
+    var snapshotUpTo = 0L
+    var generation = 0L
+    var snapshotStamp = Stamp.ABSENT
+    val stamps = Array(LedgerWriter.JOURNAL_SLOTS) { Stamp.ABSENT }
+}
+
 /** What the ledger knows of a machine's condition. */
 enum class MachineState {
     /** Rented, not yet heard from. */
@@ -180,6 +214,9 @@
 
     /** When a report was last answered, or the session became known: its lease runs from then at the latest. */
     var answeredAt = Moment(0)
+
+    /** The report that this leader answered last, if any. */
+    var answeredTally: Tally? = null
     var rentedAt = Moment(0)
 
     /** When this leader first knew of it. */
@@ -187,8 +224,7 @@
     var idleSince = Moment(0)
     var notBefore = Moment(Long.MIN_VALUE)
 
-    /** Takes no more tasks; will be returned. */
-    var draining = false
+    /** The cloud will take it back. */
     var noticed = false
 
     /** What the cloud's notice said at first. */
@@ -199,8 +235,11 @@
     /** The list called it running when this leader first saw it; it counts only once it reports. */
     var listedRunning = false
 
-    /** Every assignment not yet released. */
-    val live = LinkedHashMap<TaskId, Assignment>()
+    /** Every assignment not yet released, by the task's name as the worker writes it. */
+    val live = LinkedHashMap<String, Assignment>()
+
+    /** What [live] takes, kept as it changes: a pass must not add up every task of every machine. */
+    var used = Resources.NONE
 
     /** Images that were used here, least recently used first. A guess: the worker does not report its cache. */
     val images = LinkedHashMap<ImageId, Double>()
@@ -214,9 +253,22 @@
      */
     val mayStillStart = HashSet<Pair<String, Attempt>>()
 
-    /** Whether the worker has shown our term: from then on it drops what earlier leaders say. */
+    /**
+     * Whether the worker has shown our term: from then on it drops what earlier leaders say, and what it reports is
+     * no copy from before this reign, which might be of a machine long gone.
+     */
     var sawTerm = false
+
+    /** Reports in a row that show nothing of what the answers before them said. */
+    var unheard = 0
+
+    /** Since when answers and commands seem not to reach the worker although its reports arrive. */
+    var unreachedSince: Moment? = null
+    var sessionSince = Moment(0)
     var postInFlight = false
+
+    /** When a command was last sent directly. */
+    var pulledAt = Moment(0)
     var postNotBefore = Moment(Long.MIN_VALUE)
 
     /** The job that this machine is being emptied for. */
@@ -231,7 +283,14 @@
     var quarantined = false
 
     fun usable(now: Moment) =
-        state == MachineState.UP && !draining && !noticed && !deleting && !quarantined && session != null && now >= notBefore
+        state == MachineState.UP && sawTerm && unreachedSince == null && !noticed && !deleting && !quarantined &&
+            session != null && now >= notBefore
+
+    /** Takes over what was known of this machine before its kind was. */
+    fun takeOver(before: Machine) {
+        live.putAll(before.live)
+        used = before.used
+    }
 
     /** Takes over what an earlier leader thought this machine to hold. */
     fun recallImages(known: Map<ImageId, Double>) {
@@ -255,14 +314,14 @@
 
 /**
  * Everything the leader knows: jobs, tasks, machines and what each team uses. Not thread-safe: guarded by the
- * [Coordinator]'s lock, and does no I/O.
+ * [Reign]'s lock, and does no I/O.
  *
  * The ledger frees a task only on evidence that cannot be outdated: the worker says that the attempt has exited,
  * its session is over, or the machine is deleted. A report that merely lacks a task proves nothing, since its start
  * may be under way. Even then the task counts until the store no longer lists it, because the next leader would
  * start it again from there.
  */
-class Ledger(private val tasksPerChunk: Int, private val runDecay: Double) {
+class Ledger(private val runDecay: Double) {
     val jobs = LinkedHashMap<JobId, Job>()
     val machines = LinkedHashMap<MachineId, Machine>()
 
@@ -277,13 +336,27 @@
     /** Mean run time of each team's tasks, recent ones counting more; for jobs without an estimate. */
     val meanRunS = HashMap<TeamId, Double>()
 
+    /** What is still to be written. */
+    val unwritten = ArrayDeque<Unwritten>()
+
+    /** Jobs that are complete or cancelled; over once nothing of them lives. */
+    val finishing = LinkedHashSet<Job>()
+
+    /** Begins the numbers of this reign's attempts: a term is led once, so none is ever used twice. */
+    private var lastAttempt = 0uL
+
+    /** Sets the term in which attempts are given. */
+    fun reignIn(term: Term) {
+        lastAttempt = term.number shl ATTEMPT_BITS
+    }
+
     /** What the tasks of [team] take that may be on a machine. */
     fun use(team: TeamId): Resources = uses[team] ?: Resources.NONE
 
     /** Takes in a job record as the store has it. */
     fun putJob(record: JobRecord, stamp: Stamp, now: Moment): Job {
         val job = jobs.getOrPut(record.spec.id) {
-            Job(record.spec, record.submitted, stamp, tasksPerChunk).apply {
+            Job(record.spec, record.submitted, stamp).apply {
                 learnedAt = now
                 lastProgress = now
             }
@@ -291,73 +364,140 @@
         job.stamp = stamp
         if (record.cancelled && !job.cancelled) {
             job.cancelled = true
+            finishing += job
             // Nobody gains from what a cancelled job's tasks do, so they get no time to save.
             for (assignment in job.live.values) assignment.stopGraceS = 0.0
         }
         return job
     }
 
-    /** Takes in a chunk record on becoming leader. */
-    fun loadChunk(job: Job, number: Int, record: ChunkRecord, stamp: Stamp, now: Moment) {
-        val chunk = job.chunks.get(number) ?: Chunk(number).also { job.chunks.put(number, it) }
-        chunk.stamp = stamp
-        chunk.nextAttempt = record.nextAttempt
-        chunk.preemptions = record.preemptions
-        Ranges.decodeInto(record.done, job.done)
-        job.open.andNot(job.done)
-        for (text in record.live) {
-            val live = LiveRecord.decode(text) ?: continue
-            val machine = machines.getOrPut(live.machine) {
-                Machine(live.machine, null, null, false, MachineState.SILENT).apply { answeredAt = now; heardAt = now }
+    /** Rebuilds from what earlier leaders wrote. */
+    fun replay(now: Moment) = object : JournalReader {
+        override fun done(job: JobId, ranges: String) {
+            val known = jobs[job] ?: return
+            val set = BitSet()
+            if (!Ranges.decodeInto(ranges, set, known.spec.tasks)) log.error("unreadable ranges of {}: {}", job, ranges)
+            set.stream().forEach(known::setDone)
+            if (known.isComplete) finishing += known
+        }
+
+        override fun evictedBefore(task: TaskId, times: Int) {
+            jobs[task.job]?.evictions?.put(task.index, times)
+        }
+
+        override fun started(task: TaskId, machine: MachineId, session: Session, attempt: Attempt, zone: Zone) {
+            // A job that is over by now has no record any more, and nothing of it runs.
+            val job = jobs[task.job] ?: return
+            if (task.index >= job.spec.tasks || job.done.get(task.index)) return
+            job.live.get(task.index)?.let { older ->
+                log.error("{} is listed twice, on {} and {}", task, older.machine, machine)
+                release(older, now)
             }
-            val assignment =
-                Assignment(job, live.index, live.machine, live.session, live.attempt, live.zone, Phase.COMMITTED, now)
+            val known = machines.getOrPut(machine) {
+                Machine(machine, null, null, false, MachineState.SILENT).apply { answeredAt = now; heardAt = now }
+            }
+            val assignment = Assignment(job, task.index, machine, session, attempt, zone, Phase.COMMITTED, now)
+            assignment.written = true
             if (job.cancelled) assignment.stopGraceS = 0.0
-            add(assignment, machine)
+            add(assignment, known)
+        }
+
+        override fun ended(task: TaskId, end: TaskEnd) {
+            val job = jobs[task.job] ?: return
+            if (end == TaskEnd.DONE && task.index < job.spec.tasks) {
+                job.setDone(task.index)
+                if (job.isComplete) finishing += job
+            }
+            if (end == TaskEnd.EVICTED) job.evictions.addTo(task.index, 1)
+            job.live.get(task.index)?.let { release(it, now) }
+        }
+
+        override fun reserved(machine: MachineId, job: JobId, victims: List<TaskId>) {
+            for (victim in victims) {
+                val assignment = jobs[victim.job]?.live?.get(victim.index) ?: continue
+                assignment.stopGraceS = assignment.stopGraceS ?: assignment.job.spec.saveS
+                assignment.evicted = true
+            }
         }
     }
 
-    /** Intends to run a task on a machine. Nothing may be sent before the chunk is in the store. */
+    /**
+     * What the store holds by now of tasks and machines, in parts of about [mostLength] characters. What ended since
+     * is listed as live, and what is only intended is left out: the journal tells of both from here on.
+     */
+    fun describe(mostLength: Int): List<String> {
+        val parts = ArrayList<String>()
+        val text = JournalText()
+        fun entry(write: () -> Unit) {
+            if (text.length >= mostLength) parts += text.take()
+            write()
+        }
+        for (job in jobs.values) {
+            for (ranges in Ranges.encode(job.done, LONGEST_RANGES)) entry { text.done(job.id, ranges) }
+            for (times in job.evictions.int2IntEntrySet()) {
+                entry { text.evictedBefore("${job.id}/${times.intKey}", times.intValue) }
+            }
+            for (it in job.live.values) {
+                if (it.written) entry { text.started(it.taskName, it.machine, it.session, it.attempt, it.zone) }
+            }
+        }
+        if (text.length > 0) parts += text.take()
+        return parts
+    }
+
+    /** Intends to run a task on a machine. Nothing may be sent before the journal says so. */
     fun assign(job: Job, index: Int, machine: Machine, now: Moment): Assignment {
-        val chunk = job.chunkOf(index)
-        val attempt = chunk.nextAttempt
-        chunk.nextAttempt = Attempt(attempt.number + 1u)
         val assignment = Assignment(
-            job, index, machine.id, checkNotNull(machine.session), attempt, checkNotNull(machine.zone), Phase.INTENDED, now,
+            job, index, machine.id, checkNotNull(machine.session), Attempt(++lastAttempt), checkNotNull(machine.zone),
+            Phase.INTENDED, now,
         )
         add(assignment, machine)
         machine.touchImage(job.spec.image, job.spec.imageGb, types[machine.type]?.cacheGb ?: 0.0)
         job.lastProgress = now
         job.lastStallReport = null
-        job.markDirty(index, now)
+        unwritten += Unwritten.Started(assignment)
         return assignment
     }
 
     private fun add(assignment: Assignment, machine: Machine) {
         val job = assignment.job
         job.live.put(assignment.index, assignment)
-        job.open.clear(assignment.index)
-        machine.live[assignment.task] = assignment
+        job.setOpen(assignment.index, false)
+        machine.live[assignment.taskName] = assignment
+        machine.used += job.perTask
         uses.merge(job.spec.team, job.perTask) { a, b -> a + b }
     }
 
     /** Notes that an assignment is off its machine; it is released once the store says so too. */
-    fun end(assignment: Assignment, completed: Boolean, now: Moment) {
-        if (assignment.phase == Phase.ENDED) return
+    fun end(assignment: Assignment, completed: Boolean) {
+        if (assignment.phase >= Phase.ENDED) return
         assignment.phase = Phase.ENDED
         assignment.completed = completed
-        if (completed) assignment.job.done.set(assignment.index)
-        assignment.job.markDirty(assignment.index, now)
+        val job = assignment.job
+        if (completed) {
+            job.setDone(assignment.index)
+            if (job.isComplete) finishing += job
+        } else if (assignment.evicted) {
+            job.evictions.addTo(assignment.index, 1)
+        }
+        // What was only intended is released when its turn to be written comes.
+        if (assignment.written || assignment.beingWritten) unwritten += Unwritten.Ended(assignment)
     }
 
     /** Releases what an ended assignment held. Called when the store no longer lists it. */
     fun release(assignment: Assignment, now: Moment) {
+        if (assignment.phase == Phase.RELEASED) return
+        assignment.phase = Phase.RELEASED
         val job = assignment.job
         job.live.remove(assignment.index)
-        if (!job.done.get(assignment.index)) job.open.set(assignment.index)
+        if (!job.done.get(assignment.index)) job.setOpen(assignment.index, true)
         machines[assignment.machine]?.let { machine ->
-            machine.live.remove(assignment.task)
-            if (machine.live.isEmpty()) machine.idleSince = now
+            if (machine.live.remove(assignment.taskName) != null) machine.used -= job.perTask
+            if (machine.live.isEmpty()) {
+                machine.idleSince = now
+                // Rounding must not add up over a machine's life.
+                machine.used = Resources.NONE
+            }
         }
         uses.merge(job.spec.team, job.perTask) { a, b -> a - b }
     }
@@ -366,12 +506,13 @@
     fun dropJob(job: Job, now: Moment) {
         for (assignment in job.live.values.toList()) release(assignment, now)
         jobs.remove(job.id)
+        finishing.remove(job)
     }
 
     /** Ends every assignment on [machine] that belongs to a session before [session], or all where it is null. */
-    fun endSession(machine: Machine, session: Session?, now: Moment) {
+    fun endSession(machine: Machine, session: Session?) {
         for (assignment in machine.live.values) {
-            if (session == null || assignment.session < session) end(assignment, completed = false, now)
+            if (session == null || assignment.session < session) end(assignment, completed = false)
         }
     }
 
@@ -379,7 +520,7 @@
     fun buryMachine(id: MachineId, now: Moment) {
         tombstones[id] = now
         val machine = machines[id] ?: return
-        endSession(machine, null, now)
+        endSession(machine, null)
         if (machine.live.isEmpty()) machines.remove(id) else machine.deleting = true
     }
 
@@ -395,7 +536,7 @@
             known.rentedAt = machine?.rentedAt ?: now
             known.knownAt = machine?.knownAt ?: now
             known.idleSince = now
-            machine?.live?.let { known.live.putAll(it) }
+            machine?.let(known::takeOver)
             recalledImages.remove(report.machine)?.let(known::recallImages)
             machines[report.machine] = known
             machine = known
@@ -405,9 +546,11 @@
             return false
         }
         if (session == null || report.session > session) {
-            endSession(machine, report.session, now)
+            endSession(machine, report.session)
             machine.mayStillStart.clear()
             machine.session = report.session
+            machine.sessionSince = now
+            machine.answeredTally = null
             // A session that nobody answered yet lives a full lease from its beginning, which may have been just now.
             machine.answeredAt = now
         }
@@ -430,13 +573,12 @@
     private fun readTasks(machine: Machine, report: WorkerReport, now: Moment) {
         val strangers = ArrayList<Stranger>()
         for (reported in report.tasks) {
-            val task = TaskId.parse(reported.task)
-            val assignment = task?.let { machine.live[it] }
+            val assignment = machine.live[reported.task]
             if (assignment == null || assignment.attempt != reported.attempt || assignment.session != report.session) {
                 strangers += Stranger(reported.task, reported.attempt, reported.state == TaskState.EXITED)
                 continue
             }
-            if (assignment.phase == Phase.ENDED) continue
+            if (assignment.phase >= Phase.ENDED) continue
             if (reported.state == TaskState.RUNNING && assignment.runningSince == null) assignment.runningSince = now
             assignment.reported = reported.state
             if (reported.state == TaskState.EXITED) exited(machine, assignment, reported.cause, now)
@@ -446,7 +588,7 @@
 
     private fun exited(machine: Machine, assignment: Assignment, cause: ExitCause?, now: Moment) {
         val job = assignment.job
-        end(assignment, completed = cause == ExitCause.DONE, now)
+        end(assignment, completed = cause == ExitCause.DONE)
         when (cause) {
             ExitCause.DONE -> {
                 machine.strikes.clear()
@@ -463,18 +605,31 @@
     }
 
     private fun failed(machine: Machine, job: Job, now: Moment) {
+        // One failure may be chance; but a sick machine, always empty, would draw task after task.
+        machine.notBefore = now + FAILED_PAUSE_MS
         job.failedOn += machine.id
         job.failures++
         if (job.poisoned) {
             val doublings = minOf(job.failures - Job.POISON_MACHINES, MOST_DOUBLINGS)
             job.notBefore = now + (POISON_PAUSE_MS shl maxOf(0, doublings))
             log.info("job {} failed on {} machines; next try in {} ms", job.id, job.failedOn.size, job.notBefore - now)
+        } else if (job.doneCount > 0 || job.id !in machine.strikes) {
+            // A machine is not blamed for a job that may fail everywhere: such a one counts once.
+            machine.strikes += job.id
         }
-        // A machine is not blamed for a job that fails everywhere.
-        if (job.failedOn.size < Job.POISON_MACHINES) machine.strikes += job.id
         if (machine.strikes.size >= SICK_STRIKES && !machine.quarantined) {
             machine.quarantined = true
             log.info("machine {} quarantined: {} tasks failed in a row", machine.id, machine.strikes.size)
+            absolve(machine)
+        }
+    }
+
+    /** What failed on a sick machine failed in bad company: its jobs are not held to fail everywhere. */
+    private fun absolve(machine: Machine) {
+        for (job in jobs.values) {
+            if (!job.failedOn.remove(machine.id) || job.poisoned) continue
+            job.failures = job.failedOn.size
+            job.notBefore = Moment(Long.MIN_VALUE)
         }
     }
 
@@ -528,7 +683,10 @@
         if (job.spec.estimateS > 0) job.spec.estimateS else meanRunS[job.spec.team] ?: UNKNOWN_RUN_S
 
     private companion object {
+        const val ATTEMPT_BITS = 32
+        const val LONGEST_RANGES = 300
         const val REFUSED_PAUSE_MS = 1000L
+        const val FAILED_PAUSE_MS = 2000L
         const val POISON_PAUSE_MS = 5000L
         const val MOST_DOUBLINGS = 4
         const val SICK_STRIKES = 2
--- a/src/main/kotlin/mountmast/coordination/LedgerWriter.kt
+++ b/src/main/kotlin/mountmast/coordination/LedgerWriter.kt
@@ -13,13 +13,20 @@
 import mountmast.protocol.WireJson
 import mountmast.storage.CommitOutcome
 import mountmast.storage.Condition
-import mountmast.storage.EvictionsRecord
 import mountmast.storage.ImagesRecord
 import mountmast.storage.JobRecord
+import mountmast.storage.JournalRecord
+import mountmast.storage.JournalText
 import mountmast.storage.Keys
 import mountmast.storage.OverRecord
+import mountmast.storage.ProgressRecord
+import mountmast.storage.Ranges
+import mountmast.storage.SnapshotPart
+import mountmast.storage.SnapshotRecord
 import mountmast.storage.StateStore
+import mountmast.storage.StoreSilent
 import mountmast.storage.StoreTrouble
+import mountmast.storage.TaskEnd
 import mountmast.storage.Transaction
 import mountmast.storage.Write
 import org.slf4j.LoggerFactory
@@ -27,96 +34,215 @@
 
 private val log = LoggerFactory.getLogger("mountmast.writer")
 
+/** How much the state service takes at once. */
+data class WriteLimits(val valueKb: Double, val txnOps: Int) {
+    /** Characters of text per value, with room for the JSON around them. */
+    val textPerValue: Int = (valueKb * BYTES_PER_KB * VALUE_SHARE).toInt()
+
+    private companion object {
+        const val BYTES_PER_KB = 1024
+        const val VALUE_SHARE = 0.9
+    }
+}
+
 /**
- * Brings the ledger's changes into the store, many in one transaction. Every transaction depends on the leader's
- * key and on each job's and chunk's version, so that one applied late, by this leader or a former one, changes
- * nothing that was written since.
+ * Brings the ledger's changes into the store: group commit into a journal of few, large records, since the state
+ * service counts writes. Now and then the whole ledger is written as a snapshot, in parts, and the journal's slots
+ * are used again from then on.
+ *
+ * Every transaction depends on the leader's key, and on the slot that it writes: one that is applied late, by this
+ * leader or a former one, changes nothing that was written since.
  */
 class LedgerWriter(
     private val reign: Reign,
     private val store: StateStore,
-    private val txnOps: Int,
+    private val limits: WriteLimits,
     private val clock: Clock,
     private val onDeposed: () -> Unit,
 ) {
     private val ledger get() = reign.ledger
-
-    /** Chunks of jobs that are over and did not fit into the transaction that ended them. */
-    private val garbage = ArrayDeque<String>()
-
     private var imagesNotBefore = Moment(0)
     private var nextBucket = 0
     private val writtenImages = HashMap<Int, Map<MachineId, Map<ImageId, Double>>>()
+    private var progressNotBefore = Moment(0)
+    private val writtenProgress = ArrayList<String>()
 
-    private class ChunkWrite(val job: Job, val chunk: Chunk, val version: Long, val intended: List<Assignment>, val ended: List<Assignment>)
+    /** Parts of the snapshot that is being written, first those still to be written. */
+    private var snapshotParts = ArrayDeque<String>()
+    private var nextPart = 0
+    private var snapshotting: SnapshotRecord? = null
+
+    /** A batch that got no answer: asked again word for word until its fate is known. */
+    private var unsettled: Batch? = null
 
     private class Batch {
         val conditions = ArrayList<Condition>()
         val writes = ArrayList<Write>()
-        val chunks = ArrayList<ChunkWrite>()
+        val written = ArrayList<Unwritten>()
         val over = ArrayList<Job>()
-        var evictions: EvictionsRecord? = null
+        var records = 0
+        var bytes = 0L
         var types: MachineTypes? = null
-        var bytes = 0
+        var parts = 0
+        var snapshot: SnapshotRecord? = null
     }
 
     /** Writes one transaction if there is anything to write; false where there was nothing, or it failed. */
     fun step(): Boolean {
-        val batch = reign.lock.withLock { collect() } ?: return false
+        val batch = unsettled ?: reign.lock.withLock { collect() } ?: return false
         val outcome = try {
             store.commit(Transaction(batch.conditions, batch.writes))
+        } catch (e: StoreSilent) {
+            log.debug("commit of {} writes: {}", batch.writes.size, e.message)
+            unsettled = batch
+            return false
         } catch (e: StoreTrouble) {
-            // Where the store was silent this may still be applied; the retry then meets a changed version.
             log.debug("commit of {} writes: {}", batch.writes.size, e.message)
+            // What was refused was not executed; but an earlier try of the same may have been.
+            if (unsettled == null) reign.lock.withLock { putBack(batch) }
             return false
         }
         return when (outcome) {
             is CommitOutcome.Committed -> {
+                unsettled = null
                 reign.lock.withLock { committed(batch, Stamp(outcome.revision.number)) }
                 true
             }
-            is CommitOutcome.Conflict -> {
-                resolve(outcome.failed, batch)
-                false
-            }
+            is CommitOutcome.Conflict -> resolve(outcome.failed, batch)
         }
     }
 
     private fun collect(): Batch? {
         val batch = Batch()
         batch.conditions += Condition(Keys.LEADER, reign.mandate.stamp)
-        val dirty = ArrayList<Pair<Job, Chunk>>()
-        for (job in ledger.jobs.values.toList()) {
-            if (job.cancelled) {
-                // The next leader stops a cancelled job's tasks instead of starting them, so nothing need be written;
-                // and what was only intended was never sent, nor will be.
-                job.live.values.filter { it.phase != Phase.COMMITTED }.forEach { ledger.release(it, clock.now()) }
-            }
-            val over = (job.isComplete || job.cancelled) && job.nothingLives()
-            if (over) addOver(batch, job) else if (!job.cancelled) job.chunks.values.filter { it.dirty }.mapTo(dirty) { job to it }
-        }
-        dirty.sortBy { (_, chunk) -> chunk.dirtySince }
-        for ((job, chunk) in dirty) {
-            if (batch.writes.size >= txnOps || batch.conditions.size + 2 > 4 * txnOps || batch.bytes > MOST_BYTES) break
-            addChunk(batch, job, chunk)
-        }
-        reign.pendingEvictions?.let { evictions ->
-            if (batch.writes.size < txnOps) {
-                batch.evictions = evictions
-                put(batch, Keys.EVICTIONS, WireJson.encodeToJsonElement(evictions))
-            }
+        addJournal(batch)
+        for (job in ledger.finishing.toList()) {
+            if (batch.writes.size + 2 > limits.txnOps) break
+            if (job.nothingLives()) addOver(batch, job)
         }
         reign.pendingTypes?.let { types ->
-            if (batch.writes.size < txnOps) {
+            if (batch.writes.size < limits.txnOps) {
                 batch.types = types
                 put(batch, Keys.TYPES, WireJson.encodeToJsonElement(types))
             }
         }
+        addSnapshot(batch)
+        val urgent = batch.writes.isNotEmpty()
+        addProgress(batch)
         addImages(batch)
-        garbage += reign.orphans
-        reign.orphans.clear()
-        while (garbage.isNotEmpty() && batch.writes.size < txnOps) batch.writes += Write.Delete(garbage.removeFirst())
-        return batch.takeIf { it.writes.isNotEmpty() }
+        return batch.takeIf { urgent || it.writes.isNotEmpty() }
+    }
+
+    /** As many changes as the transaction and the free slots hold, in the order in which they happened. */
+    private fun addJournal(batch: Batch) {
+        val text = JournalText()
+        val free = JOURNAL_SLOTS - (reign.journal.next - reign.journal.snapshotUpTo).toInt()
+        val most = minOf(free, limits.txnOps - RESERVED_OPS, (MOST_BYTES / limits.textPerValue).coerceAtLeast(1))
+        while (batch.records < most && ledger.unwritten.isNotEmpty()) {
+            while (text.length < limits.textPerValue - LONGEST_ENTRY) {
+                val change = ledger.unwritten.removeFirstOrNull() ?: break
+                if (describe(change, text)) batch.written += change
+            }
+            if (text.length > 0) addRecord(batch, text.take())
+        }
+    }
+
+    private fun addRecord(batch: Batch, text: String) {
+        val journal = reign.journal
+        val number = journal.next + batch.records++
+        val slot = (number % JOURNAL_SLOTS).toInt()
+        batch.conditions += Condition(Keys.journalSlot(slot), journal.stamps[slot])
+        put(batch, Keys.journalSlot(slot), WireJson.encodeToJsonElement(JournalRecord(number, text)), text.length)
+    }
+
+    /** Writes [change] into [text]; false where it came to nothing before it was written. */
+    private fun describe(change: Unwritten, text: JournalText): Boolean {
+        when (change) {
+            is Unwritten.Started -> {
+                val assignment = change.assignment
+                // Ended or cancelled before anybody could be told: it was never sent, nor will be.
+                if (assignment.phase != Phase.INTENDED || assignment.job.cancelled) {
+                    ledger.release(assignment, clock.now())
+                    return false
+                }
+                assignment.beingWritten = true
+                text.started(assignment.taskName, assignment.machine, assignment.session, assignment.attempt, assignment.zone)
+            }
+            is Unwritten.Ended -> {
+                val assignment = change.assignment
+                val end = if (assignment.completed) TaskEnd.DONE else if (assignment.evicted) TaskEnd.EVICTED else TaskEnd.UNDONE
+                text.ended(assignment.taskName, end)
+            }
+            is Unwritten.Reserved -> text.reserved(change.machine, change.job, change.victims)
+        }
+        return true
+    }
+
+    private fun putBack(batch: Batch) {
+        for (change in batch.written.asReversed()) {
+            if (change is Unwritten.Started) change.assignment.beingWritten = false
+            // An end that was noticed meanwhile stands in the queue behind it; such a start comes to nothing there.
+            ledger.unwritten.addFirst(change)
+        }
+        // What users are told went with it.
+        writtenProgress.replaceAll { UNKNOWN }
+        progressNotBefore = Moment(0)
+    }
+
+    private fun addOver(batch: Batch, job: Job) {
+        val status = if (job.cancelled) JobStatus.CANCELLED else JobStatus.DONE
+        batch.conditions += Condition(Keys.job(job.id), job.stamp)
+        put(batch, Keys.over(job.id), WireJson.encodeToJsonElement(OverRecord(status, job.spec.tasks)))
+        batch.writes += Write.Delete(Keys.job(job.id))
+        batch.over += job
+    }
+
+    private fun addSnapshot(batch: Batch) {
+        val journal = reign.journal
+        if (snapshotting == null) {
+            if (journal.next - journal.snapshotUpTo <= SNAPSHOT_AFTER) return
+            // It holds what was committed; what is in this batch or later is replayed on top of it.
+            snapshotParts = ArrayDeque(reign.ledger.describe(limits.textPerValue - LONGEST_ENTRY))
+            snapshotting = SnapshotRecord(journal.generation + 1, journal.next - 1, snapshotParts.size)
+            nextPart = 0
+        }
+        val snapshot = checkNotNull(snapshotting)
+        // Parts are written while the pointer still names the snapshot before: late ones then change nothing.
+        batch.conditions += Condition(Keys.SNAPSHOT, journal.snapshotStamp)
+        while (batch.parts < snapshotParts.size && batch.parts < PARTS_PER_BATCH && batch.bytes < MOST_BYTES && batch.writes.size < limits.txnOps) {
+            val text = snapshotParts[batch.parts]
+            val key = Keys.snapshotPart(snapshot.generation, nextPart + batch.parts++)
+            put(batch, key, WireJson.encodeToJsonElement(SnapshotPart(text)), text.length)
+        }
+        if (snapshotParts.isEmpty() && batch.writes.size < limits.txnOps) {
+            put(batch, Keys.SNAPSHOT, WireJson.encodeToJsonElement(snapshot))
+            batch.snapshot = snapshot
+        }
+    }
+
+    /** Tells the nodes that users ask how far the running jobs have come. */
+    private fun addProgress(batch: Batch) {
+        val now = clock.now()
+        if (now < progressNotBefore) return
+        val texts = ArrayList<String>()
+        val text = StringBuilder()
+        for (job in ledger.jobs.values) {
+            if (job.live.isEmpty() && job.doneCount == 0) continue
+            text.append(job.id.text).append(' ').append(job.doneCount).append(' ').append(job.live.size).append(';')
+            if (text.length >= limits.textPerValue - LONGEST_ENTRY) {
+                texts += text.toString()
+                text.setLength(0)
+            }
+        }
+        if (text.isNotEmpty()) texts += text.toString()
+        while (texts.size < writtenProgress.size) texts += ""
+        for ((part, it) in texts.withIndex()) {
+            if (batch.writes.size >= limits.txnOps || batch.bytes + it.length > MOST_BYTES) return
+            if (part < writtenProgress.size && writtenProgress[part] == it) continue
+            put(batch, Keys.progress(part), WireJson.encodeToJsonElement(ProgressRecord(it)), it.length)
+            if (part < writtenProgress.size) writtenProgress[part] = it else writtenProgress += it
+        }
+        progressNotBefore = now + PROGRESS_EVERY_MS
     }
 
     /**
@@ -125,85 +251,108 @@
      */
     private fun addImages(batch: Batch) {
         val now = clock.now()
-        if (now < imagesNotBefore || batch.writes.size >= txnOps) return
+        if (now < imagesNotBefore || batch.writes.size >= limits.txnOps) return
         imagesNotBefore = now + IMAGES_EVERY_MS
         val bucket = nextBucket
         nextBucket = (nextBucket + 1) % IMAGE_BUCKETS
-        val held = ledger.machines.values.filter { it.id.hashCode().mod(IMAGE_BUCKETS) == bucket && it.images.isNotEmpty() }
-            .take(MOST_PER_BUCKET).associate { it.id to LinkedHashMap(it.images) }
+        val held = LinkedHashMap<MachineId, Map<ImageId, Double>>()
+        var length = 0
+        for (machine in ledger.machines.values) {
+            if (machine.id.hashCode().mod(IMAGE_BUCKETS) != bucket || machine.images.isEmpty()) continue
+            length += machine.images.keys.sumOf { it.text.length + NUMBER_LENGTH } + machine.id.text.length
+            if (length > limits.textPerValue || batch.bytes + length > MOST_BYTES) break
+            held[machine.id] = LinkedHashMap(machine.images)
+        }
         if (held == writtenImages[bucket] || (held.isEmpty() && bucket !in writtenImages)) return
         writtenImages[bucket] = held
         put(batch, Keys.IMAGES + bucket, WireJson.encodeToJsonElement(ImagesRecord(held)))
     }
 
-    private fun addOver(batch: Batch, job: Job) {
-        if (batch.writes.size + 2 > txnOps) return
-        val status = if (job.cancelled) JobStatus.CANCELLED else JobStatus.DONE
-        batch.conditions += Condition(Keys.job(job.id), job.stamp)
-        put(batch, Keys.over(job.id), WireJson.encodeToJsonElement(OverRecord(status, job.spec.tasks)))
-        batch.writes += Write.Delete(Keys.job(job.id))
-        for (chunk in job.chunks.values) {
-            val key = Keys.chunk(job.id, chunk.number)
-            if (chunk.stamp == Stamp.ABSENT) continue
-            if (batch.writes.size < txnOps) batch.writes += Write.Delete(key) else garbage += key
-        }
-        batch.over += job
-    }
-
-    private fun addChunk(batch: Batch, job: Job, chunk: Chunk) {
-        val condition = Condition(Keys.job(job.id), job.stamp)
-        if (condition !in batch.conditions) batch.conditions += condition
-        batch.conditions += Condition(Keys.chunk(job.id, chunk.number), chunk.stamp)
-        put(batch, Keys.chunk(job.id, chunk.number), WireJson.encodeToJsonElement(job.record(chunk)))
-        val own = job.live.values.filter { job.chunkOf(it.index) === chunk }
-        batch.chunks += ChunkWrite(
-            job, chunk, chunk.version,
-            own.filter { it.phase == Phase.INTENDED }, own.filter { it.phase == Phase.ENDED },
-        )
-    }
-
-    private fun put(batch: Batch, key: String, value: JsonElement) {
+    private fun put(batch: Batch, key: String, value: JsonElement, length: Int = value.toString().length) {
         batch.writes += Write.Put(key, value)
-        batch.bytes += value.toString().length
+        batch.bytes += length
     }
 
     private fun committed(batch: Batch, stamp: Stamp) {
         val now = clock.now()
-        for (write in batch.chunks) {
-            write.chunk.stamp = stamp
-            write.chunk.writtenVersion = write.version
-            for (assignment in write.ended) ledger.release(assignment, now)
-            for (assignment in write.intended) {
-                if (assignment.phase != Phase.INTENDED) continue
-                assignment.phase = Phase.COMMITTED
-                reign.queuePost(assignment.machine)
+        val journal = reign.journal
+        for (number in journal.next until journal.next + batch.records) journal.stamps[(number % JOURNAL_SLOTS).toInt()] = stamp
+        journal.next += batch.records
+        var freed = false
+        for (change in batch.written) {
+            when (change) {
+                is Unwritten.Started -> started(change.assignment)
+                is Unwritten.Ended -> {
+                    ledger.release(change.assignment, now)
+                    freed = true
+                }
+                is Unwritten.Reserved -> {}
             }
-            if (write.ended.isNotEmpty()) reign.wakePlacement()
+        }
+        if (freed) reign.wakePlacement()
+        repeat(batch.parts) { snapshotParts.removeFirst() }
+        nextPart += batch.parts
+        batch.snapshot?.let {
+            journal.snapshotUpTo = it.upTo
+            journal.generation = it.generation
+            journal.snapshotStamp = stamp
+            snapshotting = null
         }
         for (job in batch.over) {
             log.debug("job {} is over", job.id)
             reign.jobOver(job)
         }
-        if (reign.pendingEvictions === batch.evictions) reign.pendingEvictions = null
         if (reign.pendingTypes === batch.types) reign.pendingTypes = null
         buryEmptied()
     }
 
+    private fun started(assignment: Assignment) {
+        assignment.beingWritten = false
+        assignment.written = true
+        if (assignment.phase != Phase.INTENDED) return
+        assignment.phase = Phase.COMMITTED
+        reign.queuePost(assignment.machine)
+    }
+
     /** Deleted machines whose assignments are released now are forgotten. */
     private fun buryEmptied() {
-        ledger.machines.values.removeAll { it.id in ledger.tombstones && it.live.isEmpty() }
+        ledger.machines.values.removeAll { it.deleting && it.live.isEmpty() && it.id in ledger.tombstones }
     }
 
-    /** Learns what the store has instead of what was expected. */
-    private fun resolve(failed: List<String>, batch: Batch) {
-        if (Keys.LEADER in failed) return onDeposed()
-        for (key in failed) {
-            try {
-                if (key.startsWith(Keys.JOBS)) resolveJob(key) else resolveChunk(key, batch)
-            } catch (e: StoreTrouble) {
-                log.debug("reading {} again: {}", key, e.message)
+    /** Learns what the store has instead of what was expected; true where the batch turns out to be in it. */
+    private fun resolve(failed: List<String>, batch: Batch): Boolean {
+        if (Keys.LEADER in failed) {
+            onDeposed()
+            return false
+        }
+        try {
+            if (batch.records > 0 && unsettled != null) {
+                val first = reign.journal.next
+                val entry = store.get(Keys.journalSlot((first % JOURNAL_SLOTS).toInt()))
+                val record = entry?.let { WireJson.decodeFromJsonElement<JournalRecord>(it.value) }
+                if (entry != null && record?.number == first) {
+                    // An earlier try was carried out although no answer came: only we write in this term.
+                    unsettled = null
+                    reign.lock.withLock { committed(batch, entry.stamp) }
+                    return true
+                }
+            }
+            unsettled = null
+            reign.lock.withLock { putBack(batch) }
+            for (key in failed) {
+                when {
+                    key.startsWith(Keys.JOBS) -> resolveJob(key)
+                    // A snapshot's last step may have been carried out without an answer.
+                    key == Keys.SNAPSHOT -> resolveSnapshot()
+                    else -> log.error("{} was changed by somebody else", key)
+                }
             }
+        } catch (e: StoreTrouble) {
+            log.debug("reading again: {}", e.message)
+        } catch (e: IllegalArgumentException) {
+            log.error("unreadable record among {}: {}", failed, e.message)
         }
+        return false
     }
 
     private fun resolveJob(key: String) {
@@ -220,20 +369,37 @@
         }
     }
 
-    private fun resolveChunk(key: String, batch: Batch) {
-        val entry = store.get(key)
+    private fun resolveSnapshot() {
+        val entry = store.get(Keys.SNAPSHOT) ?: return
+        val record = WireJson.decodeFromJsonElement<SnapshotRecord>(entry.value)
         reign.lock.withLock {
-            val write = batch.chunks.firstOrNull { Keys.chunk(it.job.id, it.chunk.number) == key } ?: return
-            write.chunk.stamp = entry?.stamp ?: Stamp.ABSENT
+            reign.journal.snapshotUpTo = record.upTo
+            reign.journal.generation = record.generation
+            reign.journal.snapshotStamp = entry.stamp
+            snapshotting = null
         }
     }
 
-    private companion object {
-        const val MOST_BYTES = 40 * 1024
-        const val IMAGES_EVERY_MS = 1500L
-        const val IMAGE_BUCKETS = 8
+    companion object {
+        /** Slots of the journal. A new leader reads them all, so they are few. */
+        const val JOURNAL_SLOTS = 128
+
+        /** A snapshot is begun after this many records. */
+        private const val SNAPSHOT_AFTER = 48L
+        private const val PARTS_PER_BATCH = 4
+
+        /** Kept free in a transaction beside the journal, so that jobs can go over. */
+        private const val RESERVED_OPS = 4
+
+        /** Below the 64 KiB that a transaction may have, with room for conditions and names. */
+        private const val MOST_BYTES = 40 * 1024
 
-        /** Keeps a bucket's record well within a value. */
-        const val MOST_PER_BUCKET = 12
+        /** No entry of the journal is longer, save evictions of very full machines. */
+        private const val LONGEST_ENTRY = 400
+        private const val PROGRESS_EVERY_MS = 1000L
+        private const val IMAGES_EVERY_MS = 1500L
+        private const val IMAGE_BUCKETS = 8
+        private const val NUMBER_LENGTH = 24
+        private const val UNKNOWN = "?"
     }
 }
--- a/src/main/kotlin/mountmast/coordination/Node.kt
+++ b/src/main/kotlin/mountmast/coordination/Node.kt
@@ -1,7 +1,7 @@
 package mountmast.coordination
 
 import mountmast.protocol.Settings
-import mountmast.transport.AdmissionLimit
+import mountmast.transport.Admissions
 import mountmast.transport.BoundedServer
 import mountmast.transport.peerRoutes
 import mountmast.transport.publicRoutes
@@ -17,14 +17,25 @@
 /** Runs a [Controller]: its servers, and a thread for each kind of step. */
 class Node(private val settings: Settings, private val operators: OperatorSettings, private val controller: Controller) {
     fun start() {
-        val admission = AdmissionLimit(operators.admission.least, operators.admission.most)
+        // What users submit is shed first: their polls have a limit of their own, and both leave threads to the workers.
+        val admission = Admissions(operators.admission.limit(), operators.admission.limit())
         publicRoutes(controller.users, controller, admission)
             .asServer(BoundedServer(settings.serveOn, "serve", SERVE_THREADS, SERVE_WAITING)).start()
         peerRoutes(controller.users, controller)
             .asServer(BoundedServer(settings.peerListen, "peer", PEER_THREADS, SERVE_WAITING)).start()
-        loop("leadership") { controller.lead(); LEADERSHIP_MS }
+        loop("leadership") {
+            controller.lead()
+            if (controller.awaitVacancy(LEADERSHIP_MS)) LEADERSHIP_GAP_MS else LEADERSHIP_MS
+        }
         loop("greeter") { controller.greet(); GREET_MS }
-        whileLeading("pass") { reign -> controller.pass(); reign.awaitPlacement(operators.policy.passMs); PASS_GAP_MS }
+        whileLeading("pass") { reign ->
+            val began = System.nanoTime()
+            controller.pass()
+            val tookMs = (System.nanoTime() - began) / NANOS_PER_MS
+            reign.awaitPlacement(operators.policy.passMs)
+            // However large the ledger, passes leave most of the processor to the workers' reports.
+            maxOf(PASS_GAP_MS, tookMs * PASS_SHARE)
+        }
         whileLeading("writer") { reign -> if (!controller.write()) reign.awaitWritable(WRITE_IDLE_MS); WRITE_GAP_MS }
         whileLeading("follow") { if (controller.follow(FOLLOW_MS)) FOLLOW_GAP_MS else FAILED_MS }
         whileLeading("fleet") { controller.manageFleet(); FLEET_MS }
@@ -57,15 +68,18 @@
     }
 
     private companion object {
-        const val SERVE_THREADS = 10
+        const val SERVE_THREADS = 24
         const val PEER_THREADS = 4
-        const val SERVE_WAITING = 64
+        const val SERVE_WAITING = 256
         const val POSTERS = 4
         const val STACK_BYTES = 256L * 1024
         const val LEADERSHIP_MS = 1000L
+        const val LEADERSHIP_GAP_MS = 50L
         const val GREET_MS = 2000L
         const val PASS_GAP_MS = 200L
-        const val WRITE_GAP_MS = 80L
+        const val PASS_SHARE = 4
+        const val NANOS_PER_MS = 1_000_000L
+        const val WRITE_GAP_MS = 120L
         const val WRITE_IDLE_MS = 500L
         const val FOLLOW_MS = 10_000L
         const val FOLLOW_GAP_MS = 150L
--- a/src/main/kotlin/mountmast/coordination/OperatorSettings.kt
+++ b/src/main/kotlin/mountmast/coordination/OperatorSettings.kt
@@ -3,6 +3,7 @@
 import mountmast.protocol.BadSettings
 import mountmast.protocol.TeamId
 import mountmast.protocol.Urgency
+import mountmast.transport.AdmissionLimit
 import java.io.IOException
 import java.io.InputStream
 import javax.xml.stream.XMLInputFactory
@@ -10,8 +11,10 @@
 import javax.xml.stream.XMLStreamException
 import javax.xml.stream.XMLStreamReader
 
-/** How many users' requests may be in progress at once, at the least and at the most. */
-data class Admission(val least: Int = 4, val most: Int = 64)
+/** How many submissions, and how many polls, may be in progress at once, at the least and at the most. */
+data class Admission(val least: Int = 4, val most: Int = 8) {
+    fun limit() = AdmissionLimit(least, most)
+}
 
 /**
  * What operators may set beyond the platform's file. Every value has a default; whatever the file holds beyond the
--- a/src/main/kotlin/mountmast/coordination/Reign.kt
+++ b/src/main/kotlin/mountmast/coordination/Reign.kt
@@ -1,6 +1,5 @@
 package mountmast.coordination
 
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.decodeFromJsonElement
 import mountmast.protocol.BeatAnswer
@@ -11,21 +10,25 @@
 import mountmast.protocol.Moment
 import mountmast.protocol.Order
 import mountmast.protocol.OrdersMessage
-import mountmast.protocol.Resources
 import mountmast.protocol.Revision
+import mountmast.protocol.Session
+import mountmast.protocol.Stamp
 import mountmast.protocol.Tally
+import mountmast.protocol.TaskId
 import mountmast.protocol.TeamId
 import mountmast.protocol.TeamQuota
 import mountmast.protocol.Verb
 import mountmast.protocol.WireJson
 import mountmast.protocol.WorkerReport
-import mountmast.protocol.Zone
-import mountmast.storage.ChunkRecord
-import mountmast.storage.EvictionsRecord
+import mountmast.storage.Entry
 import mountmast.storage.FollowOutcome
 import mountmast.storage.ImagesRecord
 import mountmast.storage.JobRecord
+import mountmast.storage.JournalRecord
+import mountmast.storage.JournalText
 import mountmast.storage.Keys
+import mountmast.storage.SnapshotPart
+import mountmast.storage.SnapshotRecord
 import mountmast.storage.StateStore
 import mountmast.transport.OrdersOutcome
 import mountmast.transport.Workers
@@ -45,11 +48,13 @@
     private val policy: Policy,
     private val timing: Timing,
     private val clock: Clock,
-    tasksPerChunk: Int,
 ) {
     /** Guards the ledger and everything below. Held for moments; never during I/O. */
     val lock = ReentrantLock()
-    val ledger = Ledger(tasksPerChunk, policy.runDecay)
+    val ledger = Ledger(policy.runDecay).apply { reignIn(mandate.term) }
+
+    /** Where the journal stands in the store. */
+    val journal = JournalState()
 
     /** Signalled when there is something to write, and when there is something to place. */
     private val writable: Condition = lock.newCondition()
@@ -61,12 +66,6 @@
     private val postQueue = LinkedHashSet<MachineId>()
     private val postable: Condition = lock.newCondition()
 
-    /** Evictions of the last pass, not yet in the store. */
-    var pendingEvictions: EvictionsRecord? = null
-
-    /** Chunks found without their job, to be deleted. */
-    val orphans = ArrayList<String>()
-
     /** Machine types that the store does not hold yet. */
     var pendingTypes: MachineTypes? = null
 
@@ -78,27 +77,23 @@
     var ready = false
         private set
     private var readyAt = Moment(0)
+    private var tidiedAt = Moment(Long.MIN_VALUE / 2)
 
-    /** Reads everything from the store. */
+    /** Reads everything from the store. Only a leader changes what is read here, and the one before can no more. */
     fun load() {
         val types = store.get(Keys.TYPES)
         val (jobs, revision) = store.listAll(Keys.JOBS)
-        val (chunks, _) = store.listAll(Keys.CHUNKS)
+        val pointer = store.get(Keys.SNAPSHOT)
+        val snapshot = pointer?.let { decode<SnapshotRecord>(it.key, it.value) }
+        val parts = if (snapshot == null) emptyList() else store.listAll(Keys.snapshotParts(snapshot.generation)).first
+        val (slots, _) = store.listAll(Keys.JOURNAL)
         val (images, _) = store.listAll(Keys.IMAGES)
         lock.withLock {
             val now = clock.now()
             types?.let { entry -> decode<MachineTypes>(entry.key, entry.value)?.let { setTypes(it) } }
             for (entry in jobs) decode<JobRecord>(entry.key, entry.value)?.let { ledger.putJob(it, entry.stamp, now) }
-            for (entry in chunks) {
-                val (id, number) = Keys.chunkOfKey(entry.key) ?: continue
-                val job = ledger.jobs[id]
-                if (job == null) {
-                    // Only leaders write chunks, and the one before can write no more: the job is over.
-                    orphans += entry.key
-                    continue
-                }
-                decode<ChunkRecord>(entry.key, entry.value)?.let { ledger.loadChunk(job, number, it, entry.stamp, now) }
-            }
+            journal.snapshotStamp = pointer?.stamp ?: Stamp.ABSENT
+            replay(snapshot, parts, slots, now)
             for (entry in images) {
                 decode<ImagesRecord>(entry.key, entry.value)?.let { ledger.recalledImages += it.images }
             }
@@ -112,6 +107,28 @@
         }
     }
 
+    private fun replay(snapshot: SnapshotRecord?, parts: List<Entry>, slots: List<Entry>, now: Moment) {
+        val reader = ledger.replay(now)
+        var unreadable = 0
+        if (snapshot != null) {
+            journal.generation = snapshot.generation
+            journal.snapshotUpTo = snapshot.upTo
+            for (entry in parts.take(snapshot.parts)) {
+                decode<SnapshotPart>(entry.key, entry.value)?.let { unreadable += JournalText.read(it.text, reader) }
+            }
+        }
+        val records = ArrayList<JournalRecord>()
+        for (entry in slots) {
+            val slot = Keys.slotOfKey(entry.key) ?: continue
+            if (slot < journal.stamps.size) journal.stamps[slot] = entry.stamp
+            decode<JournalRecord>(entry.key, entry.value)?.let { records += it }
+        }
+        records.sortBy { it.number }
+        journal.next = maxOf(journal.snapshotUpTo, records.lastOrNull()?.number ?: 0) + 1
+        for (record in records) if (record.number > journal.snapshotUpTo) unreadable += JournalText.read(record.text, reader)
+        if (unreadable > 0) log.error("{} entries of the journal cannot be read", unreadable)
+    }
+
     fun setTypes(types: MachineTypes) = lock.withLock {
         ledger.types.clear()
         for (type in types.types) ledger.types[type.id] = type
@@ -142,7 +159,7 @@
     }
 
     /** Takes in a job record; the caller holds the lock. */
-    fun takeIn(record: JobRecord, stamp: mountmast.protocol.Stamp) {
+    fun takeIn(record: JobRecord, stamp: Stamp) {
         if (record.spec.id in recentlyOver) return
         val job = ledger.putJob(record, stamp, clock.now())
         if (job.cancelled) {
@@ -168,69 +185,96 @@
     fun beat(report: WorkerReport): BeatAnswer = lock.withLock {
         val now = clock.now()
         if (!ready) return BeatAnswer(mandate.term, emptyList())
-        val fresh = takeReport(report, now, isBeat = true)
-        val machine = ledger.machines[report.machine]
-        machine?.answeredAt = now
-        if (machine == null || !fresh) return BeatAnswer(mandate.term, emptyList())
-        val orders = outstanding(machine, withForgets = true)
-        for (assignment in machine.live.values) {
-            if (orders.any { it.verb == Verb.START && it.task == assignment.taskName }) {
-                assignment.startedInBeat = report.tally
-            }
-        }
-        BeatAnswer(mandate.term, orders)
+        // A copy that comes late renews no lease: whoever sent it has long dropped the answer.
+        if (!takeReport(report, now, isBeat = true)) return BeatAnswer(mandate.term, emptyList())
+        val machine = ledger.machines[report.machine] ?: return BeatAnswer(mandate.term, emptyList())
+        noteHearing(machine, report, now)
+        machine.answeredAt = now
+        machine.answeredTally = report.tally
+        BeatAnswer(mandate.term, outstanding(machine, inBeat = report.tally))
     }
 
     private fun takeReport(report: WorkerReport, now: Moment, isBeat: Boolean): Boolean {
-        val wasUp = ledger.machines[report.machine]?.state == MachineState.UP
+        val before = ledger.machines[report.machine]
+        val wasUsable = before?.usable(now) == true
+        // A worker that is answered keeps its session, so a new one after an answer means that it did not arrive.
+        val lostAnswers = before?.session?.let { report.session > it } == true && before.answeredTally != null
+        val lostInLease = lostAnswers && now - checkNotNull(before).answeredAt < timing.leaseMs
         if (!ledger.report(report, now)) return false
         val machine = ledger.machines[report.machine] ?: return false
+        if (lostAnswers && isBeat) machine.unheard += if (lostInLease) MOST_UNHEARD else 1
         if (report.term == mandate.term) machine.sawTerm = true
         if (isBeat && report.term == mandate.term) withdrawStopped(machine, report)
-        if (machine.live.values.any { it.phase == Phase.ENDED }) writable.signalAll()
-        if (!wasUp) wakePlacement()
+        if (ledger.unwritten.isNotEmpty()) writable.signalAll()
+        if (!wasUsable && machine.usable(now)) wakePlacement()
         return true
     }
 
+    /**
+     * Notices workers whose reports arrive while answers and commands do not reach them: their token lags, starts that
+     * an answer told are not shown, or their session rises although they are answered. Such a machine gets no more
+     * work, and is returned if that lasts; a report that shows an answer's effect clears it.
+     */
+    private fun noteHearing(machine: Machine, report: WorkerReport, now: Moment) {
+        val answered = machine.answeredTally
+        var missing = answered != null && answered < report.tally && report.term < mandate.term
+        var shown = now - machine.sessionSince > timing.leaseOverMs && report.term == mandate.term
+        for (assignment in machine.live.values) {
+            val told = assignment.startedInBeat ?: continue
+            if (assignment.phase != Phase.COMMITTED || assignment.session != report.session || report.tally <= told) continue
+            if (assignment.reported == null) {
+                missing = true
+            } else {
+                shown = true
+                assignment.startedInBeat = null
+            }
+        }
+        if (missing) machine.unheard++
+        else if (shown) machine.unheard = 0
+        if (machine.unheard >= MOST_UNHEARD && machine.unreachedSince == null) {
+            machine.unreachedSince = now
+            log.info("machine {} reports, but nothing seems to reach it", machine.id)
+        } else if (machine.unheard == 0 && machine.unreachedSince != null) {
+            machine.unreachedSince = null
+            log.info("machine {} is reached again", machine.id)
+            wakePlacement()
+        }
+    }
+
     /**
      * Ends assignments that are to be stopped and never got to the worker: its report under our token lacks them,
      * and no start of them can be under way any more.
      */
     private fun withdrawStopped(machine: Machine, report: WorkerReport) {
-        val listed = report.tasks.mapTo(HashSet()) { it.task to it.attempt }
         for (assignment in machine.live.values) {
             if (assignment.phase != Phase.COMMITTED || assignment.stopGraceS == null || assignment.reported != null) continue
-            val key = assignment.taskName to assignment.attempt
             val inBeat = assignment.startedInBeat
-            val mayArrive = assignment.postsOut > 0 || key in machine.mayStillStart ||
+            val mayArrive = assignment.postsOut > 0 || assignment.key in machine.mayStillStart ||
                 (inBeat != null && report.tally <= inBeat)
-            if (!mayArrive && key !in listed) ledger.end(assignment, completed = false, clock.now())
+            // What the report lists has been noted as reported by now.
+            if (!mayArrive) ledger.end(assignment, completed = false)
         }
     }
 
-    /** Every command that the worker has not shown to have executed. */
-    private fun outstanding(machine: Machine, withForgets: Boolean): List<Order> {
+    /** Every command that the worker has not shown to have executed; [inBeat] names the report they answer. */
+    private fun outstanding(machine: Machine, inBeat: Tally?): List<Order> {
         val orders = ArrayList<Order>()
         for (assignment in machine.live.values) {
             if (assignment.phase != Phase.COMMITTED || assignment.session != machine.session) continue
             val grace = assignment.stopGraceS
-            if (grace == null) {
-                if (assignment.reported == null) orders += Order(Verb.START, assignment.taskName, assignment.attempt)
-            } else {
-                // A start that may arrive at any time is made to arrive first, so that the stop ends it for good.
-                val mayArrive = (assignment.taskName to assignment.attempt) in machine.mayStillStart
-                if (assignment.reported == null && mayArrive) {
-                    orders += Order(Verb.START, assignment.taskName, assignment.attempt)
-                }
-                orders += Order(Verb.STOP, assignment.taskName, assignment.attempt, grace)
+            // A start that may arrive at any time is made to arrive first, so that the stop ends it for good.
+            val start = assignment.reported == null && (grace == null || assignment.key in machine.mayStillStart)
+            if (start) {
+                orders += Order(Verb.START, assignment.taskName, assignment.attempt)
+                if (inBeat != null) assignment.startedInBeat = inBeat
             }
+            if (grace != null) orders += Order(Verb.STOP, assignment.taskName, assignment.attempt, grace)
         }
-        if (withForgets) {
+        if (inBeat != null) {
             for (stranger in machine.strangers) {
-                val key = stranger.taskName to stranger.attempt
                 if (!stranger.exited) {
                     orders += Order(Verb.STOP, stranger.taskName, stranger.attempt, 0.0)
-                } else if (key !in machine.mayStillStart) {
+                } else if (stranger.taskName to stranger.attempt !in machine.mayStillStart) {
                     orders += Order(Verb.FORGET, stranger.taskName, stranger.attempt)
                 }
             }
@@ -248,6 +292,7 @@
     fun postNext(waitMs: Long): Boolean {
         var chosen: Machine? = null
         var orders: List<Order> = emptyList()
+        var session = Session(1u)
         lock.withLock {
             if (postQueue.isEmpty() && waitMs > 0) postable.await(waitMs, java.util.concurrent.TimeUnit.MILLISECONDS)
             val now = clock.now()
@@ -256,20 +301,37 @@
             } ?: return false
             postQueue -= id
             val machine = ledger.machines[id] ?: return true
-            if (machine.address == null || machine.session == null || machine.deleting || machine.state != MachineState.UP) return true
-            orders = outstanding(machine, withForgets = false)
-            if (orders.isEmpty()) return true
+            if (machine.address == null || machine.deleting) return true
+            val pulls = needsPull(machine, now)
+            if (machine.state != MachineState.UP && !pulls) return true
+            session = machine.session ?: machine.live.values.firstOrNull()?.session ?: session
+            orders = if (machine.session == null) emptyList() else outstanding(machine, inBeat = null)
+            if (orders.isEmpty() && !pulls) return true
             machine.postInFlight = true
+            machine.pulledAt = now
             forStarts(machine, orders) { it.postsOut++ }
             chosen = machine
         }
         val machine = checkNotNull(chosen)
-        val session = checkNotNull(machine.session)
         val outcome = workers.order(checkNotNull(machine.address), OrdersMessage(mandate.term, session, orders))
         lock.withLock { posted(machine, orders, outcome) }
         return true
     }
 
+    /**
+     * A worker that still reports to the leader before, which may be cut off from everybody else, learns of us only
+     * from a command: our token in it, even without any order, makes it look for the new leader.
+     */
+    private fun needsPull(machine: Machine, now: Moment) =
+        !machine.sawTerm && machine.state != MachineState.EXPIRED && machine.state != MachineState.BOOTING &&
+            now - readyAt > PULL_AFTER_MS && now - machine.pulledAt > PULL_AFTER_MS
+
+    private fun pullWorkers(now: Moment) {
+        if (now - readyAt > timing.formerLeaderMs + timing.leaseOverMs) return
+        ledger.machines.values.asSequence().filter { it.address != null && !it.postInFlight && needsPull(it, now) }
+            .take(PULLS_AT_ONCE).forEach { queuePost(it.id) }
+    }
+
     private fun posted(machine: Machine, orders: List<Order>, outcome: OrdersOutcome) {
         val now = clock.now()
         machine.postInFlight = false
@@ -305,73 +367,97 @@
             // Until the worker has shown our token, the leader before us may have answered it during its grace.
             if (!machine.sawTerm && ledUntil - readyAt < timing.formerLeaderMs + timing.leaseOverMs) continue
             log.info("machine {} silent: its lease is over, {} tasks lost", machine.id, machine.live.size)
-            ledger.endSession(machine, null, now)
+            ledger.endSession(machine, null)
             machine.state = MachineState.EXPIRED
             writable.signalAll()
         }
     }
 
-    /** Whether hardly any worker gets through to this node, although there are some. */
-    fun deafToWorkers(): Boolean = lock.withLock {
+    /** Why this node had better not lead although the state service lets it, or null. */
+    fun unfit(): String? = lock.withLock {
         val now = clock.now()
         val up = ledger.machines.values.filter { it.state == MachineState.UP && !it.deleting }
-        if (!ready || now - readyAt < DEAF_MS || up.size < LEAST_FOR_DEAF) return false
-        up.count { now - it.heardAt < DEAF_MS } * 2 < up.size
+        if (!ready || now - readyAt < DEAF_MS || up.size < LEAST_FOR_DEAF) return null
+        when {
+            up.count { now - it.heardAt < DEAF_MS } * 2 < up.size -> "hardly any worker gets through to this node"
+            manyUnreached() -> "this node reaches hardly any worker"
+            else -> null
+        }
+    }
+
+    /** Whether so many workers hear nothing that it must be this node, which cannot send. The caller holds the lock. */
+    fun manyUnreached(): Boolean {
+        val up = ledger.machines.values.count { it.state == MachineState.UP && !it.deleting }
+        val unreached = ledger.machines.values.count { it.unreachedSince != null && !it.deleting }
+        return unreached >= LEAST_FOR_DEAF && unreached * 2 > up
     }
 
+    /** How long a machine may hear nothing before it is returned. */
+    val unreachedPatienceMs: Long get() = 2 * timing.leaseOverMs
+
     /** One pass of the scheduler. */
     fun pass() = lock.withLock {
         if (!ready) return
         placeSoon = false
         val now = clock.now()
         releaseReservations(now)
-        emptyNoticed(now)
-        ledger.noticeSlow(now)
-        emptyQuarantined()
+        if (now - tidiedAt >= TIDY_MS) tidy(now)
         val plan = scheduler.plan(snapshot(now))
         assurance = plan.assurance
         waiting = plan.waiting
         for (start in plan.starts) {
             val job = ledger.jobs[start.job] ?: continue
             val machine = ledger.machines[start.machine] ?: continue
-            val image = if (job.spec.image in machine.images) "holds" else "must fetch"
+            if (log.isDebugEnabled) tellStart(start, job, machine, plan)
             ledger.assign(job, start.index, machine, now)
-            log.debug(
-                "{}/{} to {}, which {} its image; team {} has degree {}", start.job, start.index, start.machine, image,
-                job.spec.team, plan.assurance[job.spec.team],
-            )
         }
         for (eviction in plan.evictions) evict(eviction, now)
-        if (plan.evictions.isNotEmpty()) {
-            pendingEvictions = EvictionsRecord(
-                plan.evictions.map { e ->
-                    mountmast.storage.EvictionRecord(e.machine, e.forJob, e.victims.map { it.toString() })
-                },
-            )
-        }
-        if (plan.starts.isNotEmpty() || plan.evictions.isNotEmpty()) writable.signalAll()
+        for (hold in plan.holds) reserve(hold.machine, hold.forJob, now)
+        if (ledger.unwritten.isNotEmpty()) writable.signalAll()
+    }
+
+    private fun tellStart(start: Start, job: Job, machine: Machine, plan: Plan) = log.debug(
+        "{}/{} to {}, which {} its image; team {} has degree {}", start.job, start.index, start.machine,
+        if (job.spec.image in machine.images) "holds" else "must fetch", job.spec.team, plan.assurance[job.spec.team],
+    )
+
+    /** What need not be looked at in each pass. */
+    private fun tidy(now: Moment) {
+        tidiedAt = now
+        emptyNoticed(now)
+        ledger.noticeSlow(now)
+        emptyQuarantined()
+        pullWorkers(now)
         tellStalls(now)
         tellLate()
     }
 
+    private fun reserve(id: MachineId, job: JobId, now: Moment) {
+        val machine = ledger.machines[id] ?: return
+        machine.reservedFor = job
+        machine.reservedUntil = now + RESERVATION_MS
+    }
+
     private fun evict(eviction: Eviction, now: Moment) {
         val machine = ledger.machines[eviction.machine] ?: return
-        machine.reservedFor = eviction.forJob
-        machine.reservedUntil = now + RESERVATION_MS
+        reserve(machine.id, eviction.forJob, now)
         log.info("machine {} emptied for {}: {} tasks stopped", machine.id, eviction.forJob, eviction.victims.size)
+        val victims = ArrayList<String>()
         for (assignment in machine.live.values) {
             if (assignment.stopGraceS != null) continue
             assignment.stopGraceS = assignment.job.spec.saveS
-            assignment.job.chunkOf(assignment.index).preemptions++
-            assignment.job.markDirty(assignment.index, now)
+            assignment.evicted = true
+            victims += assignment.taskName
         }
+        // The pass's evictions go out in one state write, together with its starts.
+        victims.chunked(VICTIMS_PER_ENTRY).forEach { ledger.unwritten += Unwritten.Reserved(machine.id, eviction.forJob, it) }
         queuePost(machine.id)
     }
 
     /** Stops what would not complete before the cloud takes its machine, so that it saves and goes on elsewhere. */
     private fun emptyNoticed(now: Moment) {
         for (machine in ledger.machines.values) {
-            if (machine.noticed) stopOn(machine) { resident(it, now).remainingS >= machine.noticeS }
+            if (machine.noticed) stopOn(machine) { remainingS(it, now) >= machine.noticeS }
         }
     }
 
@@ -393,51 +479,48 @@
         for (machine in ledger.machines.values) {
             val job = machine.reservedFor ?: continue
             val state = ledger.jobs[job]
-            if (state == null || state.cancelled || state.open.isEmpty || now > machine.reservedUntil) machine.reservedFor = null
+            if (state == null || state.cancelled || state.openCount == 0 || now > machine.reservedUntil) machine.reservedFor = null
         }
     }
 
     private fun snapshot(now: Moment): Snapshot {
-        val machines = ArrayList<MachineView>()
+        val machines = ArrayList<MachineView>(ledger.machines.size)
         for (machine in ledger.machines.values) {
             if (!machine.usable(now)) continue
             val type = ledger.types[machine.type] ?: continue
             val zone = machine.zone ?: continue
-            var used = Resources.NONE
-            for (assignment in machine.live.values) used += assignment.job.perTask
             machines += MachineView(
-                machine.id, type, zone, machine.spot, type.capacity - used, machine.images.keys.toHashSet(),
-                machine.live.values.map { resident(it, now) }, machine.reservedFor,
-            )
+                machine.id, type, zone, machine.spot, type.capacity - machine.used, machine.images.keys, machine.reservedFor,
+            ) { machine.live.values.map { resident(it, now) } }
         }
-        val jobs = ledger.jobs.values.filter { !it.cancelled }.map { view(it, now) }
+        val jobs = ArrayList<JobView>(ledger.jobs.size)
+        for (job in ledger.jobs.values) if (!job.cancelled) jobs += view(job, now)
         return Snapshot(machines, jobs, teams.keys.associateWith { ledger.use(it) }, teams, assurance)
     }
 
+    private fun remainingS(assignment: Assignment, now: Moment): Double {
+        val estimate = ledger.runEstimateS(assignment.job)
+        val elapsed = assignment.runningSince?.let { (now - it) / 1000.0 } ?: 0.0
+        return maxOf(estimate - elapsed, estimate * LEAST_REMAINING)
+    }
+
     private fun resident(assignment: Assignment, now: Moment): Resident {
         val job = assignment.job
-        val estimate = ledger.runEstimateS(job)
-        val elapsed = assignment.runningSince?.let { (now - it) / 1000.0 } ?: 0.0
         return Resident(
-            assignment.task, job.spec.team, job.spec.urgency, maxOf(estimate - elapsed, estimate * LEAST_REMAINING),
-            job.chunkOf(assignment.index).preemptions, assignment.stopGraceS != null || assignment.phase == Phase.ENDED,
+            TaskId(job.id, assignment.index), job.spec, remainingS(assignment, now), job.evictions.get(assignment.index),
+            assignment.stopGraceS != null || assignment.phase == Phase.ENDED,
         )
     }
 
     private fun view(job: Job, now: Moment): JobView {
-        val open = IntArray(minOf(job.open.cardinality(), policy.startsPerPass))
-        var index = -1
-        for (i in open.indices) {
-            index = job.open.nextSetBit(index + 1)
-            open[i] = index
-        }
-        val perZone = HashMap<Zone, Int>()
-        for (assignment in job.live.values) perZone.merge(assignment.zone, 1, Int::plus)
         val runS = ledger.runEstimateS(job)
+        val perZone = if (!job.spec.oneZone && !job.spec.spread) emptyMap() else {
+            job.live.values.groupingBy { it.zone }.eachCount()
+        }
         return JobView(
-            job.spec, job.submitted, open, job.spec.tasks - job.done.cardinality(), job.live.size, perZone,
-            runS, job.failedOn, job.poisoned, now >= job.notBefore, untilDueS(job) - runS,
-        )
+            job.spec, job.submitted, job.openCount, job.spec.tasks - job.doneCount, job.live.size, perZone, runS, job.failedOn,
+            job.poisoned, now >= job.notBefore, untilDueS(job) - runS, (now - job.lastProgress) / 1000.0,
+        ) { count -> job.firstOpen(count) }
     }
 
     private fun untilDueS(job: Job): Double =
@@ -448,7 +531,7 @@
         for (job in ledger.jobs.values) {
             if (job.calledLate || job.cancelled || untilDueS(job) >= 0) continue
             job.calledLate = true
-            log.info("job {} is late: {} of {} tasks are done, {} placed", job.id, job.done.cardinality(), job.spec.tasks, job.live.size)
+            log.info("job {} is late: {} of {} tasks are done, {} placed", job.id, job.doneCount, job.spec.tasks, job.live.size)
         }
     }
 
@@ -487,7 +570,7 @@
 
     private inline fun <reified T> decode(key: String, value: JsonElement): T? = try {
         WireJson.decodeFromJsonElement<T>(value)
-    } catch (e: SerializationException) {
+    } catch (e: IllegalArgumentException) {
         log.error("unreadable record {}: {}", key, e.message)
         null
     }
@@ -498,6 +581,11 @@
         const val LEAST_REMAINING = 0.1
         const val STALL_MS = 30_000L
         const val STALL_REPEAT_MS = 60_000L
+        const val TIDY_MS = 1000L
+        const val VICTIMS_PER_ENTRY = 16
+        const val MOST_UNHEARD = 2
+        const val PULL_AFTER_MS = 3000L
+        const val PULLS_AT_ONCE = 20
         const val DEAF_MS = 6000L
         const val LEAST_FOR_DEAF = 3
         const val NO_DEADLINE_S = 1e6
--- a/src/main/kotlin/mountmast/coordination/Scheduler.kt
+++ b/src/main/kotlin/mountmast/coordination/Scheduler.kt
@@ -12,6 +12,7 @@
 import mountmast.protocol.Urgency
 import mountmast.protocol.WallTime
 import mountmast.protocol.Zone
+import java.util.PriorityQueue
 
 /** The open values of the design. */
 data class Policy(
@@ -28,7 +29,7 @@
     val guaranteedFromOf: Map<TeamId, Urgency> = emptyMap(),
     val passMs: Long = 1000,
     val evictionsPerPass: Int = 4,
-    val startsPerPass: Int = 200,
+    val startsPerPass: Int = 2000,
     /** Weight of the past in a team's mean run time. */
     val runDecay: Double = 0.7,
 ) {
@@ -38,13 +39,15 @@
 /** A task that is on a machine, as the scheduler sees it. */
 class Resident(
     val task: TaskId,
-    val team: TeamId,
-    val urgency: Urgency,
+    val spec: JobSpec,
     val remainingS: Double,
     val preemptions: Int,
     /** Whether it is being stopped already. */
     val stopping: Boolean,
-)
+) {
+    val team: TeamId get() = spec.team
+    val urgency: Urgency get() = spec.urgency
+}
 
 /** A machine that can take tasks, as the scheduler sees it. */
 class MachineView(
@@ -54,16 +57,19 @@
     val spot: Boolean,
     var room: Resources,
     val images: Set<ImageId>,
-    val residents: List<Resident>,
     var reservedFor: JobId?,
-)
+    residents: () -> List<Resident>,
+) {
+    /** Made only when asked for: most passes place tasks without looking at what runs. */
+    val residents: List<Resident> by lazy(LazyThreadSafetyMode.NONE, residents)
+}
 
 /** A job with tasks to place or on machines, as the scheduler sees it. */
 class JobView(
     val spec: JobSpec,
     val submitted: WallTime,
-    /** Tasks to place, in order. */
-    val open: IntArray,
+    /** How many tasks are to be placed. */
+    val openCount: Int,
     /** All tasks not done. */
     val unfinished: Int,
     val live: Int,
@@ -75,6 +81,10 @@
     val mayStart: Boolean,
     /** How much later than now its tasks could start and still be in time. */
     val slackS: Double,
+    /** Since when none of its tasks was placed. */
+    val waitedS: Double,
+    /** The first tasks to place, in order. */
+    val open: (count: Int) -> IntArray,
 )
 
 /** What the scheduler decides on: nothing else enters a decision. */
@@ -91,12 +101,16 @@
 
 data class Eviction(val machine: MachineId, val forJob: JobId, val victims: List<TaskId>)
 
+/** A machine kept for a job whose tasks are too large for the room that comes free at once. */
+data class Hold(val machine: MachineId, val forJob: JobId)
+
 /** Open tasks of a job that found no machine although team and bounds allow them. */
 data class Waiting(val job: JobId, val tasks: Int, val guaranteed: Boolean)
 
 class Plan(
     val starts: List<Start>,
     val evictions: List<Eviction>,
+    val holds: List<Hold>,
     val waiting: List<Waiting>,
     val assurance: Map<TeamId, Double>,
 )
@@ -112,22 +126,47 @@
     private inner class Pass(private val snapshot: Snapshot) {
         private val uses = HashMap(snapshot.uses)
         private val starts = ArrayList<Start>()
+        private val startedOn = HashSet<MachineId>()
         private val evictions = ArrayList<Eviction>()
+        private val holds = ArrayList<Hold>()
         private val waiting = ArrayList<Waiting>()
         private val perZone = HashMap<JobId, HashMap<Zone, Int>>()
-        private val next = HashMap<JobId, Int>()
+
+        /** Machines chosen for each job's first open tasks. */
+        private val chosen = LinkedHashMap<JobView, ArrayList<MachineId>>()
 
         /** Tasks of each job that lie within its team's guarantee; those on machines come first. */
         private val guaranteed = HashMap<JobId, Int>()
+        private val smallestOpen = snapshot.jobs.filter { it.openCount > 0 }.minOfOrNull { it.spec.cpus } ?: 0.0
+        private var held = snapshot.machines.count { it.reservedFor != null }
+        private var heldFor = 0
 
         fun run(): Plan {
             val assurance = assess()
             val order = compareBy<JobView>({ assurance[it.spec.team] ?: 1.0 }, { it.remainingS }, { it.submitted }, { it.spec.id })
             // Exception: teams without a guarantee all have degree 1, so among equals the more urgent goes first.
             val urgentFirst = compareBy<JobView>({ assurance[it.spec.team] ?: 1.0 }, { it.spec.urgency }, { lateness(it) }, { slack(it) })
-            for (job in snapshot.jobs.sortedWith(order)) placeGuaranteed(job)
-            for (job in snapshot.jobs.sortedWith(urgentFirst.then(order))) placeBorrowed(job)
-            return Plan(starts, evictions, waiting, assurance)
+            val open = snapshot.jobs.filter { it.openCount > 0 }
+            for (job in open.filter { passedOver(it) }.sortedBy { it.submitted }) placePassedOver(job)
+            for (job in open.sortedWith(order)) placeGuaranteed(job)
+            for (job in open.sortedWith(urgentFirst.then(order))) placeBorrowed(job)
+            for ((job, machines) in chosen) starts(job, machines)
+            return Plan(starts, evictions, holds, waiting, assurance)
+        }
+
+        private fun starts(job: JobView, machines: List<MachineId>) {
+            val indices = job.open(machines.size)
+            for ((i, machine) in machines.withIndex()) starts += Start(job.spec.id, indices[i], machine)
+        }
+
+        /**
+         * Exception: shorter runs, urgency and smaller tasks may otherwise go before a job for good. One that got
+         * nothing for so long is given a single task first, and a machine is kept for it where none has room.
+         */
+        private fun passedOver(job: JobView) = job.waitedS > PASSED_OVER_S && job.mayStart && !job.poisoned
+
+        private fun placePassedOver(job: JobView) {
+            if (place(job, 1) { true } > 0) holdFor(job, 1)
         }
 
         /** Jobs of teams without a guarantee that can hardly be in time any more let those go first that can. */
@@ -180,7 +219,7 @@
 
         private fun placeGuaranteed(job: JobView) {
             val share = guaranteed[job.spec.id] ?: return
-            val wanted = minOf(job.open.size, share - job.live)
+            val wanted = minOf(job.openCount, share - job.live) - chosenFor(job)
             if (wanted <= 0 || !job.mayStart) return
             val blocked = place(job, wanted) { true }
             if (blocked > 0) {
@@ -193,7 +232,7 @@
             if (!job.mayStart) return
             val quota = snapshot.teams[job.spec.team] ?: return
             val guaranteedWaits = waiting.any { it.job == job.spec.id }
-            val wanted = job.open.size - (next[job.spec.id] ?: 0)
+            val wanted = job.openCount - chosenFor(job)
             if (wanted <= 0 || guaranteedWaits) return
             // Exception: no guarantee means no bound, as twice nothing would starve the team for good.
             val bounded = quota.hasGuarantee
@@ -201,57 +240,72 @@
             val blocked = place(job, probes) { use -> !bounded || quota.guaranteeCovers(use, policy.borrowing) }
             if (blocked <= 0) return
             waiting += Waiting(job.spec.id, blocked, guaranteed = false)
-            // Exception: without guarantees only urgency can claim room, as the protocol allows.
-            if (!bounded && !job.poisoned && job.spec.urgency < Urgency.NORMAL) evictFor(job, blocked, isGuaranteed = false)
+            if (bounded || job.poisoned) return
+            // Exception: without guarantees only urgency can claim room, as the protocol allows. Room mostly comes free
+            // sooner than victims have saved, so it is waited for first.
+            if (job.spec.urgency < Urgency.NORMAL && job.waitedS >= EVICTION_PATIENCE_S) evictFor(job, blocked, isGuaranteed = false)
+            if (heldFor < JOBS_HELD_FOR && lateness(job) == 0) holdFor(job, blocked)
         }
 
+        private fun chosenFor(job: JobView) = chosen[job]?.size ?: 0
+
         /** Places up to [wanted] tasks; returns how many were kept back by nothing but missing room. */
         private fun place(job: JobView, wanted: Int, withinBound: (Resources) -> Boolean): Int {
             val spec = job.spec
             val quota = snapshot.teams[spec.team] ?: return 0
-            var blocked = 0
-            repeat(wanted) {
-                if (starts.size >= policy.startsPerPass) return blocked
-                val use = (uses[spec.team] ?: Resources.NONE) + spec.perTask * (blocked + 1)
-                if (!quota.limitAllows(use) || !withinBound(use)) return blocked
-                val machine = if (blocked > 0) null else bestMachine(job)
-                if (machine == null) {
-                    blocked++
-                } else {
-                    start(job, machine)
-                }
+            val before = uses[spec.team] ?: Resources.NONE
+            var allowedCount = 0
+            while (allowedCount < wanted) {
+                val use = before + spec.perTask * (allowedCount + 1)
+                if (!quota.limitAllows(use) || !withinBound(use)) break
+                allowedCount++
+            }
+            if (allowedCount == 0) return 0
+            val candidates = candidates(job)
+            var placed = 0
+            while (placed < allowedCount) {
+                if (startedCount >= policy.startsPerPass) return 0
+                val best = candidates.poll() ?: break
+                // Each start changes the room, and may fill the zone's share.
+                if (!fits(job, best.machine)) continue
+                start(job, best.machine)
+                placed++
+                if (fits(job, best.machine)) candidates += Candidate(best.machine, score(job, best.machine))
             }
-            return blocked
+            return allowedCount - placed
         }
 
+        private var startedCount = 0
+
         private fun start(job: JobView, machine: MachineView) {
             val spec = job.spec
-            val position = next.merge(spec.id, 1, Int::plus)!! - 1
-            starts += Start(spec.id, job.open[position], machine.id)
+            chosen.getOrPut(job) { ArrayList() } += machine.id
+            startedCount++
+            startedOn += machine.id
             machine.room -= spec.perTask
             uses.merge(spec.team, spec.perTask) { a, b -> a + b }
-            zonesOf(job).merge(machine.zone, 1, Int::plus)
+            if (spec.oneZone || spec.spread) zonesOf(job).merge(machine.zone, 1, Int::plus)
         }
 
         private fun zonesOf(job: JobView) = perZone.getOrPut(job.spec.id) { HashMap(job.perZone) }
 
-        private fun bestMachine(job: JobView): MachineView? {
-            val spec = job.spec
-            val home = if (spec.oneZone) homeZone(job) ?: return null else null
-            var best: MachineView? = null
-            var bestScore = Double.MAX_VALUE
+        private inner class Candidate(val machine: MachineView, val score: Double) : Comparable<Candidate> {
+            override fun compareTo(other: Candidate) = score.compareTo(other.score)
+        }
+
+        /** Machines with room for a task of [job], the best first: scored once, not again for each task. */
+        private fun candidates(job: JobView): PriorityQueue<Candidate> {
+            val found = PriorityQueue<Candidate>()
+            val home = if (job.spec.oneZone) homeZone(job) ?: return found else null
             for (machine in snapshot.machines) {
-                if (!spec.perTask.fitsIn(machine.room) || !allowed(job, machine)) continue
                 if (home != null && machine.zone != home) continue
-                val score = score(job, machine)
-                if (score < bestScore) {
-                    bestScore = score
-                    best = machine
-                }
+                if (job.spec.perTask.fitsIn(machine.room) && allowed(job, machine)) found += Candidate(machine, score(job, machine))
             }
-            return best
+            return found
         }
 
+        private fun fits(job: JobView, machine: MachineView) = job.spec.perTask.fitsIn(machine.room) && allowed(job, machine)
+
         /** Lower is better: first machines that hold the image, then those that would be left with the least room. */
         private fun score(job: JobView, machine: MachineView): Double {
             val spec = job.spec
@@ -278,7 +332,7 @@
         private fun homeZone(job: JobView): Zone? {
             zonesOf(job).entries.firstOrNull { it.value > 0 }?.let { return it.key }
             return snapshot.machines.filter { allowed(job, it) }.groupBy { it.zone }
-                .maxByOrNull { (_, machines) -> machines.sumOf { job.spec.perTask.timesIn(it.room, job.open.size) } }?.key
+                .maxByOrNull { (_, machines) -> machines.sumOf { job.spec.perTask.timesIn(it.room, job.openCount) } }?.key
         }
 
         /** Reserves machines for blocked tasks, cheapest first, each with all its residents evicted. */
@@ -294,11 +348,46 @@
         }
 
         private fun canEmpty(job: JobView, machine: MachineView, isGuaranteed: Boolean): Boolean {
-            if (machine.reservedFor != null || machine.residents.isEmpty()) return false
-            if (starts.any { it.machine == machine.id }) return false
-            if (!allowed(job, machine) || !job.spec.perTask.fitsIn(machine.type.capacity)) return false
+            if (machine.reservedFor != null || machine.id in startedOn) return false
+            if (!job.spec.perTask.fitsIn(machine.type.capacity) || !allowed(job, machine)) return false
             if (job.spec.oneZone && homeZone(job) != machine.zone) return false
-            return machine.residents.all { !it.stopping && evictable(it, job, isGuaranteed) }
+            return machine.residents.isNotEmpty() && machine.residents.all { !it.stopping && evictable(it, job, isGuaranteed) }
+        }
+
+        /**
+         * Exception: keeps the machines where room for large tasks comes free soonest, stopping nothing; otherwise
+         * smaller tasks take every piece of room as it comes, and the large ones wait for good.
+         */
+        private fun holdFor(job: JobView, blocked: Int) {
+            val spec = job.spec
+            if (spec.cpus <= smallestOpen) return
+            var left = blocked - snapshot.machines.filter { it.reservedFor == spec.id }
+                .sumOf { spec.perTask.timesIn(it.type.capacity, blocked) }
+            val most = (snapshot.machines.size * HELD_SHARE).toInt() - held
+            if (left <= 0 || most <= 0) return
+            heldFor++
+            val soonest = snapshot.machines.asSequence()
+                .filter { it.reservedFor == null && spec.perTask.fitsIn(it.type.capacity) && allowed(job, it) }
+                .filter { !spec.oneZone || homeZone(job) == it.zone }
+                .map { it to roomInS(job, it) }.filter { (_, inS) -> inS <= HOLD_HORIZON_S }.sortedBy { (_, inS) -> inS }.take(most)
+            for ((machine, _) in soonest) {
+                if (left <= 0) break
+                machine.reservedFor = spec.id
+                holds += Hold(machine.id, spec.id)
+                held++
+                left -= spec.perTask.timesIn(machine.type.capacity, left)
+            }
+        }
+
+        /** How soon [machine] has room for a task of [job], as far as estimates tell. */
+        private fun roomInS(job: JobView, machine: MachineView): Double {
+            var room = machine.room
+            if (job.spec.perTask.fitsIn(room)) return 0.0
+            for (resident in machine.residents.sortedBy { it.remainingS }) {
+                room += resident.spec.perTask
+                if (job.spec.perTask.fitsIn(room)) return resident.remainingS
+            }
+            return Double.MAX_VALUE
         }
 
         /** Only borrowed work gives way, and only as the protocol's "Preemption" allows. */
@@ -337,6 +426,17 @@
     private companion object {
         const val HOPELESS = 0.5
 
+        /** After so long without any start a job is given one, whatever goes before it. */
+        const val PASSED_OVER_S = 90.0
+
+        /** How long urgent work waits for room before others are stopped for it. */
+        const val EVICTION_PATIENCE_S = 2.0
+
+        /** Machines are kept for large tasks where room comes within this time, and at most this share of all. */
+        const val HOLD_HORIZON_S = 20.0
+        const val HELD_SHARE = 0.3
+        const val JOBS_HELD_FOR = 2
+
         /** Work with more slack than this is patient. */
         const val PATIENT_S = 200.0
 
--- a/src/main/kotlin/mountmast/protocol/Ids.kt
+++ b/src/main/kotlin/mountmast/protocol/Ids.kt
@@ -10,10 +10,16 @@
     override fun toString() = text
 
     companion object {
-        private val FORM = Regex("j-[0-9]{1,18}")
+        private const val PREFIX = "j-"
+        private const val MOST_DIGITS = 18
 
         /** The id in [text], or null where it is not of the form that users must keep to. */
-        fun parse(text: String): JobId? = if (FORM.matches(text)) JobId(text) else null
+        fun parse(text: String): JobId? {
+            val digits = text.length - PREFIX.length
+            if (digits !in 1..MOST_DIGITS || !text.startsWith(PREFIX)) return null
+            for (i in PREFIX.length until text.length) if (text[i] !in '0'..'9') return null
+            return JobId(text)
+        }
     }
 }
 
@@ -33,10 +39,14 @@
     }
 }
 
-/** A rented machine, named by the cloud. */
+/** A rented machine, named by the cloud. Its name is kept in texts with separators, so it must hold none. */
 @Serializable
 @JvmInline
 value class MachineId(val text: String) : Comparable<MachineId> {
+    init {
+        require(text.isNotEmpty() && text.none { it <= ' ' || it == ';' }) { "machine name" }
+    }
+
     override fun compareTo(other: MachineId) = text.compareTo(other.text)
     override fun toString() = text
 }
@@ -55,10 +65,14 @@
     override fun toString() = text
 }
 
-/** A zone. */
+/** A zone; its name is kept in texts with separators, as a machine's is. */
 @Serializable
 @JvmInline
 value class Zone(val text: String) : Comparable<Zone> {
+    init {
+        require(text.none { it < ' ' || it == ';' }) { "zone name" }
+    }
+
     override fun compareTo(other: Zone) = text.compareTo(other.text)
     override fun toString() = text
 }
@@ -132,7 +146,8 @@
 /** Number of changes the state service had seen. */
 @Serializable
 @JvmInline
-value class Revision(val number: ULong) {
+value class Revision(val number: ULong) : Comparable<Revision> {
+    override fun compareTo(other: Revision) = number.compareTo(other.number)
     override fun toString() = number.toString()
 }
 
--- a/src/main/kotlin/mountmast/protocol/JobValidation.kt
+++ b/src/main/kotlin/mountmast/protocol/JobValidation.kt
@@ -49,7 +49,7 @@
         image = ImageId(string(body, "bundle")),
         imageGb = amount(body, "sizeGb"),
         types = types(body),
-        zone = optional(body, "yard")?.let { Zone(string(it, "yard")) },
+        zone = optional(body, "yard")?.let { zone(string(it, "yard")) },
         oneZone = flag(body, "together"),
         spread = flag(body, "scatter"),
         spotAllowed = flag(body, "loaners"),
@@ -87,6 +87,12 @@
         return value.content
     }
 
+    private fun zone(name: String): Zone = try {
+        Zone(name)
+    } catch (e: IllegalArgumentException) {
+        throw Malformed("yard: not a zone's name")
+    }
+
     private fun amount(body: JsonObject, name: String) = amount(required(body, name), name)
 
     private fun amount(element: JsonElement, name: String): Double {
--- a/src/main/kotlin/mountmast/protocol/Wire.kt
+++ b/src/main/kotlin/mountmast/protocol/Wire.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.Transient
 import kotlinx.serialization.json.Json
 
 /** How every JSON body is read and written: unknown fields are ignored, nulls are left out. */
@@ -54,7 +55,8 @@
     @SerialName("markCostS") val saveS: Double,
     @SerialName("dueS") val deadlineS: Double? = null,
 ) {
-    val perTask: Resources get() = Resources(cpus, gpus, memoryGb)
+    @Transient
+    val perTask: Resources = Resources(cpus, gpus, memoryGb)
 
     /** Most tasks that may be in one zone. */
     val perZoneLimit: Int get() = if (spread) (tasks + 1) / 2 else tasks
--- a/src/main/kotlin/mountmast/storage/HttpStateStore.kt
+++ b/src/main/kotlin/mountmast/storage/HttpStateStore.kt
@@ -37,15 +37,16 @@
     override val reachable: Boolean
         get() = lastOk || System.nanoTime() - lastOkNanos < REACHED_NANOS
 
-    /** The leader writes more than the others; all nodes together stay within the rates. */
+    /** The leader writes more than the others, which have more users to answer; all nodes together stay within the rates. */
     override fun shareAs(leader: Boolean) {
-        val share = when {
-            nodes == 1 -> 1.0
-            leader -> LEADER_SHARE
-            else -> (1 - LEADER_SHARE) / (nodes - 1)
-        }
-        requests.rate = rps * share * CAUTION
-        writes.rate = writeRps * share * CAUTION
+        requests.rate = rps * share(leader, LEADER_REQUESTS) * CAUTION
+        writes.rate = writeRps * share(leader, LEADER_WRITES) * CAUTION
+    }
+
+    private fun share(leader: Boolean, ofLeader: Double) = when {
+        nodes == 1 -> 1.0
+        leader -> ofLeader
+        else -> (1 - ofLeader) / (nodes - 1)
     }
 
     override fun get(key: String): Entry? {
@@ -209,7 +210,8 @@
         const val WAIT_MS = 1500
         const val REACHED_NANOS = 2_500_000_000L
         const val RATE_WAIT_MS = 300L
-        const val LEADER_SHARE = 0.6
+        const val LEADER_REQUESTS = 0.4
+        const val LEADER_WRITES = 0.6
 
         /** Kept below the rates: clocks drift, and a change of leader overlaps two shares. */
         const val CAUTION = 0.9
--- a/src/main/kotlin/mountmast/storage/Records.kt
+++ b/src/main/kotlin/mountmast/storage/Records.kt
@@ -2,28 +2,26 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import mountmast.protocol.Attempt
 import mountmast.protocol.ImageId
 import mountmast.protocol.JobId
 import mountmast.protocol.JobSpec
 import mountmast.protocol.JobStatus
 import mountmast.protocol.MachineId
 import mountmast.protocol.NodeId
-import mountmast.protocol.Session
 import mountmast.protocol.Term
 import mountmast.protocol.WallTime
-import mountmast.protocol.Zone
-import java.util.BitSet
 
 /** Names of the keys in the state service. */
 object Keys {
     const val LEADER = "lead"
     const val TERM = "term"
     const val TYPES = "types"
-    const val EVICTIONS = "evictions"
     const val JOBS = "j/"
-    const val CHUNKS = "t/"
     const val IMAGES = "images/"
+    const val JOURNAL = "l/"
+    const val SNAPSHOT = "snapshot"
+    const val SNAPSHOT_PARTS = "s/"
+    const val PROGRESS = "p/"
 
     /** A job that is not over, or whose tasks are not all gone. Compared by whoever ends or cancels it. */
     fun job(id: JobId) = JOBS + id.text
@@ -31,16 +29,20 @@
     /** The final state of a job that is over; written in the transaction that deletes [job]. */
     fun over(id: JobId) = "f/${id.text}"
 
-    /** What became of the tasks of one chunk of a job. Written by the leader alone. */
-    fun chunk(id: JobId, chunk: Int) = "$CHUNKS${id.text}/${chunk.toString().padStart(5, '0')}"
+    /** A slot of the journal; slots are used again in turn. */
+    fun journalSlot(slot: Int) = JOURNAL + slot.toString().padStart(3, '0')
 
-    fun jobOfKey(key: String): JobId? = JobId.parse(key.removePrefix(JOBS))
+    fun slotOfKey(key: String): Int? = key.removePrefix(JOURNAL).toIntOrNull()
+
+    /** A part of the snapshot of [generation]: two generations are kept apart, so that one is always whole. */
+    fun snapshotPart(generation: Long, part: Int) = "${snapshotParts(generation)}${part.toString().padStart(5, '0')}"
+
+    fun snapshotParts(generation: Long) = "$SNAPSHOT_PARTS${generation % 2}/"
+
+    /** One part of what users are told of running jobs. */
+    fun progress(part: Int) = PROGRESS + part
 
-    fun chunkOfKey(key: String): Pair<JobId, Int>? {
-        val parts = key.removePrefix(CHUNKS).split('/')
-        if (parts.size != 2) return null
-        return (JobId.parse(parts[0]) ?: return null) to (parts[1].toIntOrNull() ?: return null)
-    }
+    fun jobOfKey(key: String): JobId? = JobId.parse(key.removePrefix(JOBS))
 }
 
 /** Who leads. Attached to the leader's hold, so it vanishes when the leader does. */
@@ -68,81 +70,26 @@
 @Serializable
 data class OverRecord(@SerialName("st") val status: JobStatus, @SerialName("n") val tasks: Int)
 
-/** A pass's evictions: which machine is kept for which job, and whom it stops for that. */
+/** Which images some of the machines are thought to hold, in gigabytes; a hint that nothing depends on. */
 @Serializable
-data class EvictionRecord(val machine: MachineId, val forJob: JobId, val victims: List<String>)
+data class ImagesRecord(@SerialName("m") val images: Map<MachineId, Map<ImageId, Double>>)
 
-/** The evictions of the latest pass that evicted. */
+/** A record of the journal: what changed, in the form of [JournalText]. Records of one reign and the next are numbered on. */
 @Serializable
-data class EvictionsRecord(val evictions: List<EvictionRecord>)
+data class JournalRecord(@SerialName("q") val number: Long, @SerialName("t") val text: String)
 
-/** Which images some of the machines are thought to hold, in gigabytes; a hint that nothing depends on. */
+/** The latest whole snapshot: it holds what the journal said up to record [upTo]. */
 @Serializable
-data class ImagesRecord(@SerialName("m") val images: Map<MachineId, Map<ImageId, Double>>)
+data class SnapshotRecord(
+    @SerialName("g") val generation: Long,
+    @SerialName("u") val upTo: Long,
+    @SerialName("n") val parts: Int,
+)
 
-/** The tasks of one chunk: those that are done, as ranges, and those that are on a machine. */
+/** A part of a snapshot, in the form of [JournalText]. */
 @Serializable
-data class ChunkRecord(
-    @SerialName("d") val done: String = "",
-    @SerialName("l") val live: List<String> = emptyList(),
-    /** Attempt to be given next; rises for good. */
-    @SerialName("a") val nextAttempt: Attempt = Attempt(1u),
-    /** Stops so far, for the cost of another. */
-    @SerialName("p") val preemptions: Int = 0,
-) {
-    companion object {
-        /** Tasks per chunk such that even a chunk whose every task is placed stays within a value. */
-        fun tasksPerChunk(valueKb: Double): Int = (valueKb * BYTES_PER_KB / BYTES_PER_TASK).toInt().coerceIn(16, 256)
-
-        private const val BYTES_PER_KB = 1024
-
-        /** Generous for `"99999 vm-0000000231 12 1234 some-zone-name",` and its part of the ranges. */
-        private const val BYTES_PER_TASK = 72
-    }
-}
+data class SnapshotPart(@SerialName("t") val text: String)
 
-/** A live assignment as a chunk holds it. */
-data class LiveRecord(
-    val index: Int,
-    val machine: MachineId,
-    val session: Session,
-    val attempt: Attempt,
-    val zone: Zone,
-) {
-    fun encode() = "$index $machine $session $attempt $zone"
-
-    companion object {
-        fun decode(text: String): LiveRecord? {
-            val parts = text.split(' ', limit = 5)
-            if (parts.size != 5) return null
-            return LiveRecord(
-                parts[0].toIntOrNull() ?: return null, MachineId(parts[1]),
-                Session(parts[2].toULongOrNull() ?: return null),
-                Attempt(parts[3].toULongOrNull() ?: return null), Zone(parts[4]),
-            )
-        }
-    }
-}
-
-/** Sets of task numbers written as ranges: `0-4,7`. */
-object Ranges {
-    fun encode(set: BitSet, from: Int, until: Int): String = buildString {
-        var start = set.nextSetBit(from)
-        while (start in 0 until until) {
-            val end = minOf(set.nextClearBit(start), until) - 1
-            if (isNotEmpty()) append(',')
-            append(start)
-            if (end > start) append('-').append(end)
-            start = set.nextSetBit(end + 1)
-        }
-    }
-
-    fun decodeInto(text: String, set: BitSet) {
-        if (text.isEmpty()) return
-        for (part in text.split(',')) {
-            val ends = part.split('-')
-            val first = ends[0].toInt()
-            set.set(first, (ends.getOrNull(1)?.toInt() ?: first) + 1)
-        }
-    }
-}
+/** How far running jobs have come, for users: `JOB DONE RUNNING;...`. */
+@Serializable
+data class ProgressRecord(@SerialName("t") val text: String)
--- a/src/main/kotlin/mountmast/transport/Cloud.kt
+++ b/src/main/kotlin/mountmast/transport/Cloud.kt
@@ -1,7 +1,6 @@
 package mountmast.transport
 
 import com.google.common.util.concurrent.RateLimiter
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.decodeFromString
 import kotlinx.serialization.encodeToString
 import mountmast.protocol.MachineId
@@ -84,7 +83,7 @@
 
     private inline fun <reified T> decode(reply: Reply): T = try {
         WireJson.decodeFromString<T>(reply.text)
-    } catch (e: SerializationException) {
+    } catch (e: IllegalArgumentException) {
         throw CloudTrouble("malformed answer: ${e.message}", mayBeCarriedOut = true)
     }
 
--- a/src/main/kotlin/mountmast/transport/Routes.kt
+++ b/src/main/kotlin/mountmast/transport/Routes.kt
@@ -39,8 +39,8 @@
 }
 
 /**
- * How many users' requests may be in progress at once: a limit that follows measured times. Health checks,
- * cancellations and workers' reports do not pass through it.
+ * How many requests of a kind may be in progress at once: a limit that follows measured times. Health checks,
+ * cancellations and workers' reports do not pass through any.
  */
 class AdmissionLimit(least: Int, most: Int) {
     private val limiter: SimpleLimiter<Unit> = SimpleLimiter.newBuilder()
@@ -60,11 +60,14 @@
     }
 }
 
+/** The limits on users' requests; a flood of submissions must not keep anybody from asking after a job. */
+class Admissions(val submissions: AdmissionLimit, val polls: AdmissionLimit)
+
 /** The JSON body of a refusal. */
 fun refusal(why: String): String = WireJson.encodeToString(Refusal(why))
 
 /** Everything served to users, workers and health checks. */
-fun publicRoutes(users: UserService, beats: BeatService, admission: AdmissionLimit): HttpHandler = guarded { request ->
+fun publicRoutes(users: UserService, beats: BeatService, admission: Admissions): HttpHandler = guarded { request ->
     val path = request.uri.path
     when {
         path == "/ready" -> request.only(Method.GET) {
@@ -73,13 +76,13 @@
         path == "/agent/beat" -> request.only(Method.POST) { beat(request, beats) }
         path == JOBS -> request.only(Method.POST) {
             val body = request.boundedBody() ?: return@only text(400, refusal("body: over 64 KiB"))
-            admission.admit { users.submit(body, relayed = false) }.toResponse()
+            admission.submissions.admit { users.submit(body, relayed = false) }.toResponse()
         }
         path.startsWith("$JOBS/") && path.endsWith(CANCEL) -> request.only(Method.POST) {
             users.cancel(path.removePrefix("$JOBS/").removeSuffix(CANCEL), relayed = false).toResponse()
         }
         path.startsWith("$JOBS/") -> request.only(Method.GET) {
-            admission.admit { users.status(path.removePrefix("$JOBS/"), relayed = false) }.toResponse()
+            admission.polls.admit { users.status(path.removePrefix("$JOBS/"), relayed = false) }.toResponse()
         }
         else -> text(404, refusal("no such path"))
     }
--- a/src/main/kotlin/mountmast/transport/Workers.kt
+++ b/src/main/kotlin/mountmast/transport/Workers.kt
@@ -1,6 +1,5 @@
 package mountmast.transport
 
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.decodeFromString
 import kotlinx.serialization.encodeToString
 import mountmast.protocol.OrdersMessage
@@ -40,7 +39,7 @@
             }
         } catch (e: NoAnswer) {
             return if (e.mayBeCarriedOut) OrdersOutcome.Unknown else OrdersOutcome.NotSent
-        } catch (e: SerializationException) {
+        } catch (e: IllegalArgumentException) {
             return OrdersOutcome.Unknown
         }
     }
--- a/src/test/kotlin/mountmast/coordination/LedgerTest.kt
+++ b/src/test/kotlin/mountmast/coordination/LedgerTest.kt
@@ -22,7 +22,7 @@
 import org.junit.jupiter.api.Test
 
 class LedgerTest {
-    private val ledger = Ledger(16, 0.7)
+    private val ledger = Ledger(0.7)
     private val spec = World(1).job(1) { it.copy(shape = Shape.ARRAY, tasks = 20, estimateS = 1.0) }
     private val job = ledger.putJob(JobRecord(spec, WallTime(0)), Stamp(1u), Moment(0))
     private var tally = 0uL
@@ -35,7 +35,7 @@
     )
 
     private fun place(index: Int, machine: String, at: Long): Assignment =
-        ledger.assign(job, index, ledger.machines.getValue(MachineId(machine)), Moment(at)).apply { phase = Phase.COMMITTED }
+        ledger.assign(job, index, ledger.machines.getValue(MachineId(machine)), Moment(at)).apply { phase = Phase.COMMITTED; written = true }
 
     private fun Assignment.shown(state: TaskState, cause: ExitCause? = null) = ReportedTask(taskName, attempt, state, cause)
 
--- a/src/test/kotlin/mountmast/coordination/RecoveryTest.kt
+++ b/src/test/kotlin/mountmast/coordination/RecoveryTest.kt
@@ -120,12 +120,12 @@
         val world = World(27, quietNetwork = true)
         val job = world.accept(world.plain(1) { it.copy(estimateS = 90.0) })
         world.run(20_000, busy = false)
-        val rented = world.cloud.workers.count { it.alive }
+        val busy = world.cloud.workers.count { it.busy }
         val leading = world.seats.first { it.controller?.reign() != null }
         leading.trouble.storeCutUntil = world.time.now + 30_000
         leading.trouble.workersCutUntil = world.time.now + 30_000
         world.run(45_000, busy = false)
-        assertEquals(rented, world.cloud.workers.count { it.alive })
+        assertEquals(busy, world.cloud.workers.count { it.busy })
         assertEquals(4, world.rules.started)
         world.expectDone(listOf(job), 90_000)
     }
@@ -144,7 +144,7 @@
 
     @Test
     fun `a job cancelled before its placement is in the store goes over`() {
-        // Chunks of cancelled jobs are not written; what was only intended once stayed for ever and held the limit.
+        // What was only intended of a cancelled job is not written, and once stayed for ever and held the limit.
         val world = World(29, quietNetwork = true)
         world.expectDone(listOf(world.accept(world.plain(1))), 30_000)
         val id = world.accept(world.plain(2))
--- a/src/test/kotlin/mountmast/coordination/SchedulerTest.kt
+++ b/src/test/kotlin/mountmast/coordination/SchedulerTest.kt
@@ -27,23 +27,23 @@
     private val scheduler = Scheduler(Policy())
 
     private fun machine(name: String, room: Double = 8.0, residents: List<Resident> = emptyList(), images: Set<String> = emptySet(), zone: String = "a") =
-        MachineView(MachineId(name), type, Zone(zone), false, Resources(room, 0.0, room * 4), images.map { ImageId(it) }.toSet(), residents, null)
+        MachineView(MachineId(name), type, Zone(zone), false, Resources(room, 0.0, room * 4), images.map { ImageId(it) }.toSet(), null) { residents }
 
     private fun job(
         number: Int, team: TeamQuota, tasks: Int = 1, cpus: Double = 4.0, urgency: Urgency = Urgency.NORMAL, estimateS: Double = 50.0,
-        live: Int = 0, slackS: Double = 100.0, poisoned: Boolean = false, spread: Boolean = false, perZone: Map<Zone, Int> = emptyMap(),
+        live: Int = 0, slackS: Double = 100.0, waitedS: Double = 10.0, poisoned: Boolean = false, spread: Boolean = false, perZone: Map<Zone, Int> = emptyMap(),
     ): JobView {
         val spec = JobSpec(
             JobId("j-$number"), "c", team.id, Shape.ARRAY, urgency, tasks + live, cpus, 0.0, cpus, ImageId("i"), 5.0, null, null, false, spread,
             true, estimateS, 0.0, 0.0,
         )
         return JobView(
-            spec, WallTime(number.toLong()), IntArray(tasks) { it + live }, tasks + live, live, perZone, estimateS, emptySet(), poisoned, true, slackS,
-        )
+            spec, WallTime(number.toLong()), tasks, tasks + live, live, perZone, estimateS, emptySet(), poisoned, true, slackS, waitedS,
+        ) { count -> IntArray(count) { it + live } }
     }
 
     private fun resident(job: JobView, index: Int, remainingS: Double = 50.0, preemptions: Int = 0) =
-        Resident(TaskId(job.spec.id, index), job.spec.team, job.spec.urgency, remainingS, preemptions, false)
+        Resident(TaskId(job.spec.id, index), job.spec, remainingS, preemptions, false)
 
     private fun plan(machines: List<MachineView>, jobs: List<JobView>, assurance: Map<TeamId, Double> = emptyMap()): Plan {
         val uses = jobs.groupBy { it.spec.team }.mapValues { (_, of) -> of.fold(Resources.NONE) { sum, it -> sum + it.spec.perTask * it.live } }
--- a/src/test/kotlin/mountmast/standin/StandInWorker.kt
+++ b/src/test/kotlin/mountmast/standin/StandInWorker.kt
@@ -58,6 +58,7 @@
     var nextReportAt = time.now
     var target = 0
 
+    val busy get() = alive && tasks.values.any { it.onMachine }
     val hanging get() = time.now < hangUntil
     val cut get() = time.now < cutUntil
 
--- a/src/test/kotlin/mountmast/transport/RoutesTest.kt
+++ b/src/test/kotlin/mountmast/transport/RoutesTest.kt
@@ -35,7 +35,7 @@
     private val beats = BeatService { report: WorkerReport ->
         if (report.machine.text == "vm-1") BeatOutcome.Accepted(BeatAnswer(Term(7u), emptyList())) else BeatOutcome.Elsewhere(NodeId("n-2"))
     }
-    private val routes = publicRoutes(Users(), beats, AdmissionLimit(MOST, MOST))
+    private val routes = publicRoutes(Users(), beats, Admissions(AdmissionLimit(MOST, MOST), AdmissionLimit(MOST, MOST)))
 
     private fun call(method: Method, path: String, body: String = "") = routes(Request(method, path).body(body))
 
