--- a/src/main/kotlin/mountmast/CommandLineTool.kt
+++ b/src/main/kotlin/mountmast/CommandLineTool.kt
@@ -21,6 +21,9 @@
 internal class CommandLineTool(private val serve: (Settings, OperatorSettings) -> Unit) {
     /** Runs one command; returns its exit code. */
     fun run(args: Array<String>): Int {
+        // The platform's own call needs no parser. picocli's classes are of a form that the class-data archive does not
+        // take, and reading them made up a third of a start.
+        if (args.size == 2 && args[0] == CONFIG && !args[1].startsWith("-")) return serveOrCheck(args[1], null, checkOnly = false)
         val line = CommandLine(root())
         line.setExecutionStrategy { execute(it) }
         line.setParameterExceptionHandler { e, _ -> usage("${e.message}; see --help") }
@@ -32,7 +35,7 @@
             usageMessage().description(
                 "Schedules jobs on rented machines. With --config it serves as one controller node; the commands talk to a running one.",
             ).footer("", "Exit codes: 0 done, 1 the service cannot be reached or refuses, 2 wrong usage or settings.")
-            addOption(option("--config", "FILE", "the platform's settings (TOML); serves until it is stopped"))
+            addOption(option(CONFIG, "FILE", "the platform's settings (TOML); serves until it is stopped"))
             addOption(option("--tuning", "FILE", "operators' settings (XML), see deploy/mountmast.example.xml"))
             addOption(OptionSpec.builder("--check").type(Boolean::class.java).arity("0").description("checks the settings and ends").build())
             addSubcommand("submit", client("Submits the job in a JSON file; - reads standard input.", "FILE"))
@@ -59,8 +62,11 @@
     }
 
     private fun serveOrCheck(parsed: ParseResult): Int {
-        val config = parsed.matchedOptionValue<String?>("--config", null) ?: return usage("--config FILE or a command is needed; see --help")
-        val tuning = parsed.matchedOptionValue<String?>("--tuning", null)
+        val config = parsed.matchedOptionValue<String?>(CONFIG, null) ?: return usage("$CONFIG FILE or a command is needed; see --help")
+        return serveOrCheck(config, parsed.matchedOptionValue<String?>("--tuning", null), parsed.hasMatchedOption("--check"))
+    }
+
+    private fun serveOrCheck(config: String, tuning: String?, checkOnly: Boolean): Int {
         val settings: Settings
         val operators: OperatorSettings
         try {
@@ -71,7 +77,7 @@
         } catch (e: BadSettings) {
             return usage(e.message.orEmpty())
         }
-        if (parsed.hasMatchedOption("--check")) {
+        if (checkOnly) {
             println("settings are valid: ${settings.node} of ${settings.nodes} nodes, ${settings.teams.size} teams")
             return DONE
         }
@@ -131,6 +137,7 @@
     private fun version() = CommandLineTool::class.java.`package`.implementationVersion ?: "(unbuilt)"
 
     private companion object {
+        const val CONFIG = "--config"
         const val DONE = 0
         const val FAILED = 1
         const val WRONG_USAGE = 2
--- a/src/main/kotlin/mountmast/Main.kt
+++ b/src/main/kotlin/mountmast/Main.kt
@@ -19,11 +19,12 @@
         WarmUp.run()
         exitProcess(0)
     }
-    val tool = CommandLineTool { settings, operators ->
-        start(settings, operators)
-        CountDownLatch(1).await()
-    }
-    exitProcess(tool.run(args))
+    exitProcess(CommandLineTool(::serve).run(args))
+}
+
+private fun serve(settings: Settings, operators: OperatorSettings) {
+    start(settings, operators)
+    CountDownLatch(1).await()
 }
 
 /** Starts a node on its own threads. */
--- a/src/main/kotlin/mountmast/coordination/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/Controller.kt
@@ -89,22 +89,26 @@
             }
             return
         }
-        if (current?.reign?.mandate === mandate) {
-            if (!current.reign.ready) load(current.reign)
-            return
-        }
+        if (current?.reign?.mandate === mandate) return
         store.shareAs(leader = true)
         val reign = Reign(mandate, store, workers, settings.teams, policy, timing, clock)
         val writer = LedgerWriter(reign, store, WriteLimits(settings.valueKb, settings.txnOps), clock) { leadership.lost() }
         val fleet = Fleet(reign, cloud, clock, "${settings.node}-$run-${mandate.term}", fleetPolicy)
         office.set(Office(reign, writer, fleet))
-        load(reign)
     }
 
-    private fun load(reign: Reign) = try {
-        reign.load()
-    } catch (e: StoreTrouble) {
-        log.debug("loading: {}", e.message)
+    /**
+     * Reads what earlier leaders wrote, if this node has just begun to lead; false where there is nothing to read.
+     * Not part of [lead]: reading takes seconds after a start, and the hold must be renewed meanwhile.
+     */
+    fun load(): Boolean {
+        val reign = office.get()?.reign ?: return false
+        return try {
+            reign.load()
+        } catch (e: StoreTrouble) {
+            log.debug("loading: {}", e.message)
+            false
+        }
     }
 
     /** One pass of the scheduler. */
--- a/src/main/kotlin/mountmast/coordination/Node.kt
+++ b/src/main/kotlin/mountmast/coordination/Node.kt
@@ -27,6 +27,7 @@
             controller.lead()
             if (controller.awaitVacancy(LEADERSHIP_MS)) LEADERSHIP_GAP_MS else LEADERSHIP_MS
         }
+        loop("loader") { if (controller.load()) 0 else IDLE_MS }
         loop("greeter") { controller.greet(); GREET_MS }
         whileLeading("pass") { reign ->
             val began = System.nanoTime()
--- a/src/main/kotlin/mountmast/coordination/Reign.kt
+++ b/src/main/kotlin/mountmast/coordination/Reign.kt
@@ -77,26 +77,33 @@
     var ready = false
         private set
     private var readyAt = Moment(0)
+    private var imagesRead = false
     private var tidiedAt = Moment(Long.MIN_VALUE / 2)
 
-    /** Reads everything from the store. Only a leader changes what is read here, and the one before can no more. */
-    fun load() {
+    /**
+     * Reads everything from the store, in two steps: first what is needed to go on, then hints. Only a leader changes
+     * what is read here, and the one before can no more. False once all is read.
+     */
+    fun load(): Boolean {
+        if (imagesRead) return false
+        if (ready) {
+            val (images, _) = store.listAll(Keys.IMAGES)
+            imagesRead = true
+            lock.withLock { for (entry in images) decode<ImagesRecord>(entry.key, entry.value)?.let(::recallImages) }
+            return true
+        }
         val types = store.get(Keys.TYPES)
         val (jobs, revision) = store.listAll(Keys.JOBS)
         val pointer = store.get(Keys.SNAPSHOT)
         val snapshot = pointer?.let { decode<SnapshotRecord>(it.key, it.value) }
         val parts = if (snapshot == null) emptyList() else store.listAll(Keys.snapshotParts(snapshot.generation)).first
         val (slots, _) = store.listAll(Keys.JOURNAL)
-        val (images, _) = store.listAll(Keys.IMAGES)
         lock.withLock {
             val now = clock.now()
             types?.let { entry -> decode<MachineTypes>(entry.key, entry.value)?.let { setTypes(it) } }
             for (entry in jobs) decode<JobRecord>(entry.key, entry.value)?.let { ledger.putJob(it, entry.stamp, now) }
             journal.snapshotStamp = pointer?.stamp ?: Stamp.ABSENT
             replay(snapshot, parts, slots, now)
-            for (entry in images) {
-                decode<ImagesRecord>(entry.key, entry.value)?.let { ledger.recalledImages += it.images }
-            }
             followFrom = revision
             readyAt = now
             ready = true
@@ -105,6 +112,14 @@
                 ledger.machines.values.sumOf { it.live.size }, ledger.machines.size,
             )
         }
+        return true
+    }
+
+    private fun recallImages(record: ImagesRecord) {
+        for ((id, images) in record.images) {
+            val machine = ledger.machines[id]
+            if (machine?.type != null) machine.recallImages(images) else ledger.recalledImages[id] = images
+        }
     }
 
     private fun replay(snapshot: SnapshotRecord?, parts: List<Entry>, slots: List<Entry>, now: Moment) {
--- a/src/main/kotlin/mountmast/coordination/Scheduler.kt
+++ b/src/main/kotlin/mountmast/coordination/Scheduler.kt
@@ -160,15 +160,20 @@
         }
 
         /**
-         * Exception: shorter runs, urgency and smaller tasks may otherwise go before a job for good. One that got
-         * nothing for so long is given a single task first, and a machine is kept for it where none has room.
+         * Exception: shorter runs, urgency and smaller tasks may otherwise go before a job for good. One that has
+         * nothing on any machine for so long is given a single task first, and a machine is kept for it where none has
+         * room; the bounds of its team stay.
          */
-        private fun passedOver(job: JobView) = job.waitedS > PASSED_OVER_S && job.mayStart && !job.poisoned
+        private fun passedOver(job: JobView) = job.waitedS > PASSED_OVER_S && job.live == 0 && job.mayStart && !job.poisoned
 
         private fun placePassedOver(job: JobView) {
-            if (place(job, 1) { true } > 0) holdFor(job, 1)
+            val quota = snapshot.teams[job.spec.team] ?: return
+            if (place(job, 1) { withinBound(quota, it) } > 0) holdFor(job, 1)
         }
 
+        /** Exception: no guarantee means no bound, as twice nothing would starve the team for good. */
+        private fun withinBound(quota: TeamQuota, use: Resources) = !quota.hasGuarantee || quota.guaranteeCovers(use, policy.borrowing)
+
         /** Jobs of teams without a guarantee that can hardly be in time any more let those go first that can. */
         private fun lateness(job: JobView) = if (slack(job) < -HOPELESS * job.remainingS) 1 else 0
 
@@ -234,10 +239,9 @@
             val guaranteedWaits = waiting.any { it.job == job.spec.id }
             val wanted = job.openCount - chosenFor(job)
             if (wanted <= 0 || guaranteedWaits) return
-            // Exception: no guarantee means no bound, as twice nothing would starve the team for good.
             val bounded = quota.hasGuarantee
             val probes = if (job.poisoned) minOf(wanted, maxOf(0, 1 - job.live)) else wanted
-            val blocked = place(job, probes) { use -> !bounded || quota.guaranteeCovers(use, policy.borrowing) }
+            val blocked = place(job, probes) { withinBound(quota, it) }
             if (blocked <= 0) return
             waiting += Waiting(job.spec.id, blocked, guaranteed = false)
             if (bounded || job.poisoned) return
--- a/src/test/kotlin/mountmast/coordination/RulesUnderFailureTest.kt
+++ b/src/test/kotlin/mountmast/coordination/RulesUnderFailureTest.kt
@@ -20,6 +20,8 @@
                 world.fail()
                 world.run(world.random.nextLong(2000, 20_000), busy = true)
             }
+            // No trouble that was drawn lasts longer; after it every job has its answer soon.
+            world.rules.quietSince = world.time.now + LONGEST_TROUBLE_MS
             // Replicas never end, and may hold all that their team is allowed to borrow.
             world.cancelServices()
             world.run(200_000, busy = false)
@@ -39,4 +41,8 @@
 
     @Test
     fun `failures of every kind, alone and together, break no rule`() = seeds(60).forEach { day(it, quiet = false, failures = 12) }
+
+    private companion object {
+        const val LONGEST_TROUBLE_MS = 30_000L
+    }
 }
--- a/src/test/kotlin/mountmast/standin/Rules.kt
+++ b/src/test/kotlin/mountmast/standin/Rules.kt
@@ -26,11 +26,32 @@
     private val cancelToldAt = HashMap<JobId, Long>()
     private val running = HashMap<TaskId, Place>()
     private val completed = HashMap<JobId, HashSet<Int>>()
+    private val firstStart = HashMap<JobId, Long>()
+    private val submittedAt = HashMap<JobId, Long>()
+
+    /** Since when all questions about a job went without an answer. */
+    private val unansweredSince = HashMap<JobId, Long>()
     var started = 0
         private set
 
-    fun submitting(spec: JobSpec) {
+    /** When the last trouble ended; null while there may be some. */
+    var quietSince: Long? = null
+
+    fun submitting(spec: JobSpec, now: Long = 0) {
         submitted[spec.id] = spec
+        submittedAt.putIfAbsent(spec.id, now)
+    }
+
+    /** How long after its submission a job's first task started, or null where none did. */
+    fun beganAfterMs(id: JobId): Long? = firstStart[id]?.let { it - submittedAt.getValue(id) }
+
+    /** A question about [id] was asked; [answered] tells whether it got its state. */
+    fun asked(id: JobId, answered: Boolean, now: Long) {
+        if (answered) unansweredSince -= id else unansweredSince.putIfAbsent(id, now)
+        val quiet = quietSince ?: return
+        val since = unansweredSince[id] ?: return
+        // However others fare: each job counts for itself.
+        if (id in accepted && now - maxOf(since, quiet) > FORGOTTEN_MS) broken("forgotten", "$id got no answer since $since")
     }
 
     fun cancelling(id: JobId) {
@@ -61,6 +82,7 @@
 
     fun taskStarts(task: TaskId, place: Place, now: Long) {
         started++
+        firstStart.putIfAbsent(task.job, now)
         val spec = submitted.getValue(task.job)
         running[task]?.let { if (it.machine != place.machine) broken("ran_twice", "$task on ${it.machine} and ${place.machine}") }
         if (spec.types != null && place.type !in spec.types!!) broken("wrong_place", "$task on ${place.type}")
@@ -94,4 +116,8 @@
     }
 
     private fun broken(rule: String, what: String): Nothing = throw RuleBroken("$rule: $what")
+
+    private companion object {
+        const val FORGOTTEN_MS = 75_000L
+    }
 }
--- a/src/test/kotlin/mountmast/standin/StandInWorker.kt
+++ b/src/test/kotlin/mountmast/standin/StandInWorker.kt
@@ -46,13 +46,17 @@
     private var answeredSentAt = time.now
     private var steppedAt = time.now
     private val place = Place(id, type.id, zone, spot)
-    val address = "$id:9000"
+    var address = "$id:9000"
+        private set
     var sick = false
 
     /** How many times as long tasks take here. */
     var slowTimes = 1L
     var cutUntil = 0L
     var hangUntil = 0L
+
+    /** Its reports arrive, but answers and commands do not reach it. */
+    var deafUntil = 0L
     var noticeEndsAt: Long? = null
     var alive = true
     var nextReportAt = time.now
@@ -61,6 +65,7 @@
     val busy get() = alive && tasks.values.any { it.onMachine }
     val hanging get() = time.now < hangUntil
     val cut get() = time.now < cutUntil
+    val deaf get() = time.now < deafUntil
 
     fun report(): WorkerReport {
         tally++
@@ -118,6 +123,12 @@
         answeredSentAt = time.now
     }
 
+    /** The machine is back at once, without its tasks, in a new session and at a new address. */
+    fun reboot() {
+        expire()
+        address = "$id:${9000 + session.toInt()}"
+    }
+
     private fun vanish() {
         for ((task, it) in tasks) if (it.onMachine) rules.taskGone(task, id, done = false)
     }
--- a/src/test/kotlin/mountmast/standin/VirtualTime.kt
+++ b/src/test/kotlin/mountmast/standin/VirtualTime.kt
@@ -43,8 +43,10 @@
     var storeRefusedUntil = 0L
     var workersCutUntil = 0L
     var stalledUntil = 0L
+    var peersCutUntil = 0L
     var dieAtNextCall = false
 
+    fun cutFromPeers() = time.now < peersCutUntil
     fun cutFromStore() = time.now < storeCutUntil
     fun refusedByStore() = time.now < storeRefusedUntil
     fun cutFromWorkers() = time.now < workersCutUntil
--- a/src/test/kotlin/mountmast/standin/World.kt
+++ b/src/test/kotlin/mountmast/standin/World.kt
@@ -64,7 +64,7 @@
         var trouble = Trouble(time)
         var controller: Controller? = null
         var downUntil = 0L
-        private var due = LongArray(7)
+        private var due = LongArray(8)
         private var starts = 0
 
         fun start() {
@@ -74,7 +74,7 @@
                 settings(), Policy(), FleetPolicy(idleReturnMs = 8000), store.View(random, trouble), cloud.View(trouble),
                 WorkerLine(trouble), PeerLine(trouble), time.clock(drift, random.nextLong(-20, 20)), "$seed-$number-${starts++}",
             )
-            due = LongArray(7)
+            due = LongArray(8)
         }
 
         private fun settings() = Settings(
@@ -93,7 +93,7 @@
             }
             if (trouble.stalled()) return
             val steps = listOf<Pair<Long, () -> Unit>>(
-                1000L to running::lead, 2000L to running::greet, 300L to running::pass, 100L to { running.write() },
+                1000L to running::lead, 100L to { running.load() }, 2000L to running::greet, 300L to running::pass, 100L to { running.write() },
                 150L to { running.follow(0) }, 1000L to running::manageFleet, 100L to { while (running.post(0)) Unit },
             )
             for (i in steps.indices.shuffled(random)) {
@@ -127,7 +127,7 @@
             fun execute(): OrdersOutcome =
                 if (worker.ordered(message.term, message.session, message.orders)) OrdersOutcome.Executed(worker.report())
                 else OrdersOutcome.Rejected(worker.report())
-            val lost = worker.cut || worker.hanging || trouble.cutFromWorkers() || random.nextDouble() < trouble.lossRate
+            val lost = worker.cut || worker.deaf || worker.hanging || trouble.cutFromWorkers() || random.nextDouble() < trouble.lossRate
             if (!lost) return execute()
             if (random.nextInt(4) == 0) return OrdersOutcome.NotSent
             if (random.nextBoolean()) time.later(random.nextLong(100, 60_000)) { if (worker.alive) execute() }
@@ -136,7 +136,8 @@
     }
 
     private inner class PeerLine(private val trouble: Trouble) : Peers {
-        private fun reach(to: Member) = seats.first { it.name == to.node }.takeIf { !trouble.stalled() && !it.trouble.stalled() }?.controller
+        private fun reach(to: Member) = seats.first { it.name == to.node }
+            .takeIf { !trouble.stalled() && !it.trouble.stalled() && !trouble.cutFromPeers() && !it.trouble.cutFromPeers() }?.controller
 
         override fun hello(to: Member, hello: PeerHello): PeerHello? = reach(to)?.hello(hello)
         override fun relay(to: Member, request: RelayRequest): RelayAnswer? {
@@ -174,6 +175,11 @@
         worker.nextReportAt = time.now + REPORT_MS * random.nextLong(75, 125) / 100
         val report = worker.report()
         val sentAt = time.now
+        if (!quietNetwork && random.nextInt(15) == 0) {
+            // A copy comes late, from seconds to well over a lease, at any node, whatever became of the machine.
+            val seat = seats.random(random)
+            time.later(random.nextLong(1000, 40_000)) { seat.controller?.let { late -> seat.guarded { late.beat(report) } } }
+        }
         val seat = seats[worker.target]
         val controller = seat.controller
         if (controller == null || seat.trouble.stalled() || worker.cut || seat.trouble.cutFromWorkers() || random.nextDouble() < seat.trouble.lossRate) {
@@ -188,12 +194,13 @@
             when (val outcome = controller.beat(report)) {
                 is BeatOutcome.Accepted -> {
                     val delay = if (quietNetwork) 0L else random.nextLong(0, 60)
-                    if (random.nextDouble() >= seat.trouble.lossRate) {
+                    if (worker.deaf) worker.target = (worker.target + 1) % seats.size
+                    else if (random.nextDouble() >= seat.trouble.lossRate) {
                         time.later(delay) { worker.answered(outcome.answer.term, outcome.answer.orders, sentAt, report.session) }
                     }
                 }
                 is BeatOutcome.Elsewhere -> {
-                    val next = seats.indexOfFirst { it.name == outcome.node }
+                    val next = if (worker.deaf) -1 else seats.indexOfFirst { it.name == outcome.node }
                     worker.target = if (next < 0 || next == worker.target) (worker.target + 1) % seats.size else next
                 }
             }
@@ -209,7 +216,7 @@
 
     fun submit(spec: JobSpec): Int? {
         jobs[spec.id] = spec
-        rules.submitting(spec)
+        rules.submitting(spec, time.now)
         val answer = ask { _, controller -> controller.users.submit(WireJson.encodeToString(spec), relayed = false) } ?: return null
         rules.submissionAnswered(spec.id, answer.status)
         if (answer.status in 200..201) accepted += spec.id
@@ -226,7 +233,9 @@
     }
 
     fun poll(id: JobId): JobStatus? {
-        val answer = ask { _, controller -> controller.users.status(id.text, relayed = false) } ?: return null
+        val answer = ask { _, controller -> controller.users.status(id.text, relayed = false) }
+        rules.asked(id, answer?.status == 200, time.now)
+        if (answer == null) return null
         rules.statusAnswered(id, answer.status, answer.state(), time.now)
         return answer.state()
     }
@@ -271,7 +280,7 @@
         val seat = seats.random(random)
         val ms = random.nextLong(1000, 30_000)
         val worker = cloud.workers.filter { it.alive }.randomOrNull(random)
-        when (random.nextInt(14)) {
+        when (random.nextInt(20)) {
             0 -> seat.crash(if (random.nextBoolean()) 100L else 4000L)
             1 -> seat.trouble.dieAtNextCall = true
             2 -> seats.forEach { it.crash(random.nextLong(50, 4000)) }
@@ -288,6 +297,21 @@
                 time.later(random.nextLong(0, 3000)) { cloud.take(taken.id) }
             }
             12 -> worker?.slowTimes = 6
+            13 -> worker?.deafUntil = time.now + ms
+            14 -> cloud.workers.filter { it.alive }.forEach { if (random.nextBoolean()) it.deafUntil = time.now + ms / 2 }
+            15 -> {
+                // It loses the state service and the other controllers, but not its workers.
+                seat.trouble.storeCutUntil = time.now + ms
+                seat.trouble.peersCutUntil = time.now + ms
+            }
+            16 -> seat.trouble.peersCutUntil = time.now + ms
+            17 -> {
+                // Back within a fraction of a second, twice in a row, at times all of them.
+                val all = if (random.nextBoolean()) seats else listOf(seat)
+                all.forEach { it.crash(random.nextLong(20, 400)) }
+                time.later(random.nextLong(300, 2500)) { all.forEach { it.crash(random.nextLong(20, 400)) } }
+            }
+            18 -> worker?.reboot()
             else -> worker?.sick = true
         }
     }
