Other nodes renew leases once for a leader just elected; a leader that falls behind leaves users to them

Excluded: the election (at most 1 s) and reading (1 s). Change: for 8 s after an election every other node answers each worker once with the new token; the leader counts no silence from before; the hold lasts a quarter of the lease. Change: a leader that wakes late from short sleeps is unready while all others serve.

--- a/src/main/kotlin/mountmast/coordination/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/Controller.kt
@@ -1,6 +1,8 @@
 package mountmast.coordination
 
+import mountmast.protocol.BeatAnswer
 import mountmast.protocol.Clock
+import mountmast.protocol.MachineId
 import mountmast.protocol.NodeId
 import mountmast.protocol.PeerHello
 import mountmast.protocol.RelayRequest
@@ -39,7 +41,7 @@
     /** Drawn at each start, so that no two processes are ever taken for one another. */
     private val run: String,
 ) : BeatService, PeerService {
-    private val timing = Timing.of(settings.leaseS, settings.cancelS)
+    private val timing = Timing.of(settings.leaseS, settings.cancelS, settings.clockOffMs)
     private val leadership = Leadership(store, settings.node, run, timing, clock)
     private val desk = JobDesk(store, settings.teams, clock, ::relay, ::ready)
 
@@ -50,11 +52,22 @@
 
     private val office = AtomicReference<Office?>()
     private val hellos = ConcurrentHashMap<NodeId, Pair<PeerHello, Long>>()
+    private val helped = ConcurrentHashMap.newKeySet<MachineId>()
+
+    @Volatile
+    private var helpedIn = Term(0u)
     private var stepsSinceTypes = 0
 
     @Volatile
     private var greeted = false
 
+    /** How late this process wakes from short sleeps, as a mean that forgets within seconds. */
+    @Volatile
+    private var lagMs = 0.0
+
+    @Volatile
+    private var declinesUsers = false
+
     /** The reign to work in, or null while this node does not lead. */
     fun reign(): Reign? = office.get()?.reign?.takeIf { it.ready }
 
@@ -66,6 +79,7 @@
         val why = reign?.unfit()
         if (reign != null && why != null && freshHellos().any { it.serves }) leadership.resign(reign.mandate, why)
         syncOffice()
+        weighUsers()
         try {
             if (!desk.knowsTypes || stepsSinceTypes++ >= TYPES_STEPS) {
                 desk.refreshTypes()
@@ -76,6 +90,24 @@
         }
     }
 
+    /** Notes that a sleep was [ms] too long: this process falls behind its share of the processor. */
+    fun noteLag(ms: Long) {
+        lagMs += (ms - lagMs) * LAG_WEIGHT
+    }
+
+    /**
+     * A leader that falls behind leaves users to the others, as long as all of those serve. It stays so until it leads
+     * no more or one of the others is missing: the load balancer takes a node back ever more slowly.
+     */
+    private fun weighUsers() {
+        val mandate = leadership.mandate()
+        val others = freshHellos().count { it.serves }
+        declinesUsers = when {
+            mandate == null || others < maxOf(LEAST_OTHERS, settings.members.size) -> false
+            else -> declinesUsers || (lagMs > BUSY_LAG_MS && clock.now() - mandate.electedAt > SETTLING_MS)
+        }
+    }
+
     /** Waits while another node leads; false where there is nothing to wait for. */
     fun awaitVacancy(waitMs: Long): Boolean = leadership.awaitVacancy(waitMs)
 
@@ -145,13 +177,24 @@
 
     override fun beat(report: WorkerReport): BeatOutcome {
         leadership.heard(report.term)
-        val mandate = leadership.mandate() ?: return BeatOutcome.Elsewhere(leadership.leader())
+        val mandate = leadership.mandate() ?: return help(report) ?: BeatOutcome.Elsewhere(leadership.leader())
         val reign = office.get()?.reign
         if (!leadership.mayAnswerWorkers() || report.term > mandate.term) return BeatOutcome.Elsewhere(null)
         if (reign == null || reign.mandate !== mandate) return BeatOutcome.Elsewhere(null)
         return BeatOutcome.Accepted(reign.beat(report))
     }
 
+    /** Renews a worker's lease once for a leader that was elected a moment ago; its next report is sent there. */
+    private fun help(report: WorkerReport): BeatOutcome? {
+        val term = leadership.helps() ?: return null
+        if (term != helpedIn) {
+            helped.clear()
+            helpedIn = term
+        }
+        if (report.term > term || helped.size >= MOST_HELPED || !helped.add(report.machine)) return null
+        return BeatOutcome.Accepted(BeatAnswer(term, emptyList()))
+    }
+
     /** Greets the other nodes. */
     fun greet() {
         for (member in settings.members) peers.hello(member, ownHello())?.let(::note)
@@ -188,11 +231,16 @@
      * a node that called itself unready would only be passed over for longer once the trouble is past; and one that
      * has not asked the others yet cannot tell.
      */
-    private fun ready(): Boolean = canServe() || (greeted && freshHellos().none { it.serves })
+    private fun ready(): Boolean = if (canServe()) !declinesUsers else greeted && freshHellos().none { it.serves }
 
     private companion object {
         const val CONFIRMED_MS = 2500L
         const val HELLO_FRESH_MS = 6000L
         const val TYPES_STEPS = 30
+        const val MOST_HELPED = 10_000
+        const val LAG_WEIGHT = 0.03
+        const val BUSY_LAG_MS = 25.0
+        const val SETTLING_MS = 10_000L
+        const val LEAST_OTHERS = 2
     }
 }
--- a/src/main/kotlin/mountmast/coordination/Leadership.kt
+++ b/src/main/kotlin/mountmast/coordination/Leadership.kt
@@ -9,6 +9,7 @@
 import mountmast.protocol.Revision
 import mountmast.protocol.Stamp
 import mountmast.protocol.Term
+import mountmast.protocol.WallTime
 import mountmast.protocol.WireJson
 import mountmast.storage.CommitOutcome
 import mountmast.storage.Condition
@@ -28,16 +29,26 @@
 private val log = LoggerFactory.getLogger("mountmast.leadership")
 
 /** How long leaders may act without the state service, derived from what the workers are promised. */
-data class Timing(val ttlMs: Long, val graceMs: Long, val leaseMs: Long) {
+data class Timing(val ttlMs: Long, val graceMs: Long, val leaseMs: Long, val clockOffMs: Long) {
     /** After this long without an answer from a leader a worker has given up its tasks, drift included. */
     val leaseOverMs: Long get() = drifted(leaseMs) + MARGIN_MS
 
     /** For this long after its election a leader must suppose that the one before still answers workers. */
     val formerLeaderMs: Long get() = drifted(graceMs) + MARGIN_MS
 
+    /**
+     * For this long after its election other nodes may renew workers' leases in a leader's name: one that has just
+     * started is too slow for all workers at once, and their leases run out.
+     */
+    val helpMs: Long get() = minOf(HELP_MS, graceMs)
+
+    /** Until when, by any node's time of day, helpers may answer for a leader elected at [since] by its own. */
+    fun helpUntil(since: WallTime) = WallTime(since.ms + helpMs - 2 * clockOffMs - MARGIN_MS)
+
     companion object {
         private const val MARGIN_MS = 500L
-        private const val TTL_SHARE = 0.35
+        private const val HELP_MS = 8000L
+        private const val TTL_SHARE = 0.25
         private const val LEAST_TTL_MS = 2000L
         private const val MOST_TTL_MS = 5000L
 
@@ -51,12 +62,12 @@
          * The grace ends early enough that a task which only a cut-off leader can reach is gone within
          * `cancel_s` of its cancellation: the hold, the grace and the worker's lease run out one after another.
          */
-        fun of(leaseS: Double, cancelS: Double): Timing {
+        fun of(leaseS: Double, cancelS: Double, clockOffMs: Double): Timing {
             val lease = (leaseS * 1000).toLong()
             // A successor must be found, and be found by the workers, well before their leases run out.
             val ttl = (lease * TTL_SHARE).toLong().coerceIn(LEAST_TTL_MS, MOST_TTL_MS)
             val grace = (cancelS * 1000).toLong() - lease - ttl - RESERVE_MS
-            return Timing(ttl, grace.coerceIn(0, 60_000), lease)
+            return Timing(ttl, grace.coerceIn(0, 60_000), lease, Math.ceil(clockOffMs).toLong())
         }
     }
 }
@@ -86,6 +97,8 @@
     private var abstainUntil = Moment(Long.MIN_VALUE)
     private var spareHold: HoldId? = null
     private var seenUpTo = Revision(0u)
+    private var helpUntil = WallTime(0)
+    private var helpTerm = Term(0u)
 
     fun mandate(): Mandate? = lock.withLock { mandate }
     fun leader(): NodeId? = lock.withLock { if (mandate != null) node else leader }
@@ -105,6 +118,11 @@
      */
     fun confirmedUntil(own: Mandate): Moment? = lock.withLock { if (mandate === own) confirmedAt else null }
 
+    /** The term in which this node may renew workers' leases for a leader just elected, or null. */
+    fun helps(): Term? = lock.withLock {
+        helpTerm.takeIf { mandate == null && it == highest && it.number > 0u && clock.wall() < helpUntil }
+    }
+
     /** Gives the lead up, for another node to take; abstains for a while. */
     fun resign(own: Mandate, why: String) {
         lock.withLock {
@@ -197,6 +215,8 @@
         if (entry != null && record != null && record.node != node) {
             lock.withLock {
                 leader = record.node
+                helpTerm = record.term
+                helpUntil = timing.helpUntil(record.since)
                 seenUpTo = maxOf(seenUpTo, Revision(entry.stamp.number))
             }
             return
@@ -206,6 +226,7 @@
 
     private fun elect(stamp: Stamp) {
         val asked = clock.now()
+        val began = clock.wall()
         val hold = spareHold?.takeIf { store.renewHold(it) } ?: store.grantHold(timing.ttlMs)
         lock.withLock {
             spareHold = hold
@@ -217,7 +238,7 @@
         val transaction = Transaction(
             listOf(Condition(Keys.LEADER, stamp), Condition(Keys.TERM, termEntry?.stamp ?: Stamp.ABSENT)),
             listOf(
-                Write.Put(Keys.LEADER, WireJson.encodeToJsonElement(LeaderRecord(node, run, term)), hold),
+                Write.Put(Keys.LEADER, WireJson.encodeToJsonElement(LeaderRecord(node, run, term, began)), hold),
                 Write.Put(Keys.TERM, WireJson.encodeToJsonElement(TermRecord(term))),
             ),
         )
--- a/src/main/kotlin/mountmast/coordination/Node.kt
+++ b/src/main/kotlin/mountmast/coordination/Node.kt
@@ -27,6 +27,13 @@
             controller.lead()
             if (controller.awaitVacancy(LEADERSHIP_MS)) LEADERSHIP_GAP_MS else LEADERSHIP_MS
         }
+        var sleptAt = System.nanoTime()
+        loop("pulse") {
+            val now = System.nanoTime()
+            controller.noteLag(maxOf(0, (now - sleptAt) / NANOS_PER_MS - PULSE_MS))
+            sleptAt = now
+            PULSE_MS
+        }
         loop("loader") { if (controller.load()) 0 else IDLE_MS }
         loop("greeter") { controller.greet(); GREET_MS }
         whileLeading("pass") { reign ->
@@ -69,13 +76,14 @@
     }
 
     private companion object {
-        const val SERVE_THREADS = 24
+        const val SERVE_THREADS = 40
         const val PEER_THREADS = 4
         const val SERVE_WAITING = 256
         const val POSTERS = 4
         const val STACK_BYTES = 256L * 1024
         const val LEADERSHIP_MS = 1000L
         const val LEADERSHIP_GAP_MS = 50L
+        const val PULSE_MS = 100L
         const val GREET_MS = 2000L
         const val PASS_GAP_MS = 200L
         const val PASS_SHARE = 4
--- a/src/main/kotlin/mountmast/coordination/Reign.kt
+++ b/src/main/kotlin/mountmast/coordination/Reign.kt
@@ -376,9 +376,11 @@
     fun expireSilent(ledUntil: Moment) = lock.withLock {
         if (!ready) return
         val now = clock.now()
+        // Others may have answered in our name until then.
+        val helpedUntil = mandate.electedAt + timing.helpMs
         for (machine in ledger.machines.values.toList()) {
             if (machine.state != MachineState.UP && machine.state != MachineState.SILENT) continue
-            if (ledUntil - machine.answeredAt < timing.leaseOverMs) continue
+            if (ledUntil - maxOf(machine.answeredAt, helpedUntil) < timing.leaseOverMs) continue
             // Until the worker has shown our token, the leader before us may have answered it during its grace.
             if (!machine.sawTerm && ledUntil - readyAt < timing.formerLeaderMs + timing.leaseOverMs) continue
             log.info("machine {} silent: its lease is over, {} tasks lost", machine.id, machine.live.size)
--- a/src/main/kotlin/mountmast/protocol/Settings.kt
+++ b/src/main/kotlin/mountmast/protocol/Settings.kt
@@ -43,6 +43,8 @@
     val cloud: InetSocketAddress,
     val state: InetSocketAddress,
     val teams: Map<TeamId, TeamQuota>,
+    /** How far any node's time of day may be off. */
+    val clockOffMs: Double,
     val reportS: Double,
     val leaseS: Double,
     val cancelS: Double,
@@ -57,6 +59,9 @@
     val nodes: Int get() = members.size + 1
 
     companion object {
+        /** Supposed where the platform's file does not say. */
+        private const val CLOCK_OFF_MS = 1000.0
+
         /** Reads and checks the settings in [file]. */
         fun read(file: File): Settings {
             val text = try {
@@ -83,7 +88,7 @@
             val members = tables(toml, "members").mapIndexed { i, member ->
                 val at = "members[$i]."
                 Member(
-                    NodeId(string(member, "node", at)), Zone(string(member, "site", at)),
+                    NodeId(string(member, "node", at)), zone(member, at),
                     address(member, "endpoint", at),
                 )
             }
@@ -99,13 +104,14 @@
             if (lease <= report) throw BadSettings("deployment.workers.lease_s: not longer than report_s")
             return Settings(
                 node = node,
-                zone = Zone(string(toml, "site")),
+                zone = zone(toml),
                 serveOn = address(toml, "serve_on"),
                 peerListen = address(toml, "peer_listen"),
                 members = members,
                 cloud = address(toml, "endpoints.cloud"),
                 state = address(toml, "endpoints.state"),
                 teams = teams.associateBy { it.id },
+                clockOffMs = if (toml.get<Any?>("deployment.clock_off_ms") == null) CLOCK_OFF_MS else amount(toml, "deployment.clock_off_ms"),
                 reportS = report,
                 leaseS = lease,
                 cancelS = positive(toml, "deployment.workers.cancel_s"),
@@ -119,6 +125,15 @@
             )
         }
 
+        private fun zone(table: UnmodifiableConfig, at: String = ""): Zone {
+            val name = string(table, "site", at)
+            return try {
+                Zone(name)
+            } catch (e: IllegalArgumentException) {
+                throw BadSettings("${at}site: not a zone's name")
+            }
+        }
+
         private fun quota(team: UnmodifiableConfig, at: String): TeamQuota {
             val quota = TeamQuota(
                 TeamId(string(team, "name", at)),
--- a/src/main/kotlin/mountmast/storage/Records.kt
+++ b/src/main/kotlin/mountmast/storage/Records.kt
@@ -52,6 +52,8 @@
     /** Drawn at each start of the process: a restarted node is another holder. */
     val run: String,
     val term: Term,
+    /** When its election began, for those who help it at first. */
+    val since: WallTime = WallTime(0),
 )
 
 /** The highest term ever taken; never deleted. */
--- a/src/test/kotlin/mountmast/coordination/LedgerTest.kt
+++ b/src/test/kotlin/mountmast/coordination/LedgerTest.kt
@@ -1,5 +1,6 @@
 package mountmast.coordination
 
+import mountmast.protocol.Attempt
 import mountmast.protocol.ExitCause
 import mountmast.protocol.MachineId
 import mountmast.protocol.Moment
@@ -8,6 +9,7 @@
 import mountmast.protocol.Shape
 import mountmast.protocol.Stamp
 import mountmast.protocol.Tally
+import mountmast.protocol.TaskId
 import mountmast.protocol.TaskState
 import mountmast.protocol.Term
 import mountmast.protocol.TypeId
@@ -109,4 +111,40 @@
         assertTrue(ledger.machines.values.none { it.quarantined })
         assertTrue(ledger.machines.getValue(MachineId("vm-4")).strikes.isEmpty())
     }
+
+    @Test
+    fun `to a leader just elected a late copy of a report proves nothing`() {
+        // It has heard nobody yet, so it cannot tell a copy from news: nothing may hang on which one it is.
+        val replay = ledger.replay(Moment(0))
+        replay.started(TaskId(spec.id, 3), MachineId("vm-7"), Session(3u), Attempt(9u), Zone("a"))
+        assertTrue(report("vm-7", 100, session = 2u))
+        val assignment = job.live.get(3)
+        assertEquals(Phase.COMMITTED, assignment.phase, "a copy from an older session ended a newer one's task")
+        val machine = ledger.machines.getValue(MachineId("vm-7"))
+        assertFalse(machine.usable(Moment(200)), "a machine that may be long gone would get work")
+        assertTrue(report("vm-7", 300, assignment.shown(TaskState.RUNNING), session = 3u))
+        assertEquals(Phase.COMMITTED, assignment.phase)
+        assertFalse(report("vm-7", 400, session = 2u), "a copy is no news once the machine was heard")
+        assertEquals(Session(3u), machine.session)
+    }
+
+    @Test
+    fun `failures on a machine that proves sick are not held against its jobs`() {
+        val others = (2..4).map { ledger.putJob(JobRecord(World(1).job(it) { s -> s.copy(shape = Shape.ARRAY, tasks = 9) }, WallTime(0)), Stamp(1u), Moment(0)) }
+        fun fails(of: Job, index: Int, machine: String, at: Long) {
+            report(machine, at)
+            val assignment = ledger.assign(of, index, ledger.machines.getValue(MachineId(machine)), Moment(at)).apply { phase = Phase.COMMITTED; written = true }
+            report(machine, at + 10, assignment.shown(TaskState.EXITED, ExitCause.FAILED))
+            ledger.release(assignment, Moment(at + 20))
+        }
+        for ((i, machine) in listOf("vm-1", "vm-2", "vm-3").withIndex()) fails(job, i, machine, i * 5000L)
+        assertTrue(job.poisoned)
+        for ((i, machine) in listOf("vm-1", "vm-2", "vm-3").withIndex()) {
+            fails(others[i], 0, machine, 20_000L + i * 10_000)
+            fails(others[(i + 1) % 3], 1, machine, 25_000L + i * 10_000)
+        }
+        assertEquals(3, ledger.machines.values.count { it.quarantined })
+        assertFalse(job.poisoned)
+        assertTrue(job.notBefore <= Moment(0), "still backed off for its bad company")
+    }
 }
--- a/src/test/kotlin/mountmast/coordination/RecoveryTest.kt
+++ b/src/test/kotlin/mountmast/coordination/RecoveryTest.kt
@@ -183,4 +183,132 @@
         val refused = users[0].submit("""{"nameId":"j-7"}""", relayed = false)
         assertEquals(503 to true, refused.status to (refused.retryAfterS > 0))
     }
+
+    @Test
+    fun `a leader that falls behind leaves users to the others while both serve`() {
+        // At the grown size it answered submissions too late, while the others were idle.
+        val world = World(33, quietNetwork = true)
+        world.run(15_000, busy = false)
+        val leading = world.seats.first { it.controller?.reign() != null }
+        fun ready() = world.seats.map { it.controller?.users?.ready() ?: false }
+        assertEquals(listOf(true, true, true), ready())
+        repeat(200) { leading.controller!!.noteLag(200) }
+        world.run(3000, busy = false)
+        assertEquals(world.seats.map { it !== leading }, ready())
+        world.seats.first { it !== leading }.crash(10_000)
+        world.run(8000, busy = false)
+        assertTrue(leading.controller!!.users.ready(), "one node alone is not enough for all users")
+    }
+
+    @Test
+    fun `a job passed over for long gets a task, with urgent work all around it`() {
+        val world = World(34, quietNetwork = true)
+        val free = TeamId("free")
+        val big = world.plain(1) { it.copy(team = free, tasks = 3, cpus = 16.0, memoryGb = 32.0, types = listOf(TypeId("l")), estimateS = 5.0) }
+        val jobs = ArrayList<JobId>()
+        var number = 10
+        fun flood() = repeat(12) {
+            val small = world.plain(number++) { it.copy(team = free, urgency = Urgency.HIGH, tasks = 30, cpus = 1.0, memoryGb = 2.0, estimateS = 8.0) }
+            jobs += world.accept(small)
+        }
+        flood()
+        world.run(20_000, busy = false)
+        world.accept(big)
+        repeat(24) {
+            flood()
+            world.run(10_000, busy = false)
+        }
+        val began = world.rules.beganAfterMs(big.id)
+        assertTrue(began != null && began < 240_000, "began after $began ms")
+    }
+
+    @Test
+    fun `a machine that hears nothing gets no more work and is returned, and its tasks run elsewhere`() {
+        val world = World(35, quietNetwork = true)
+        world.accept(world.plain(1) { it.copy(estimateS = 60.0) })
+        world.run(15_000, busy = false)
+        val deaf = world.cloud.workers.first { it.busy }.apply { deafUntil = world.time.now + 120_000 }
+        world.run(12_000, busy = false)
+        val since = world.time.now
+        val jobs = (2..9).map { world.accept(world.plain(it)) }
+        world.run(40_000, busy = false)
+        assertTrue(!deaf.alive, "still rented ${world.time.now - since} ms later")
+        world.expectDone(jobs, 60_000)
+    }
+
+    @Test
+    fun `a machine that hears nothing for a moment is not punished`() {
+        val world = World(36, quietNetwork = true)
+        world.accept(world.plain(1) { it.copy(estimateS = 90.0) })
+        world.run(30_000, busy = false)
+        val started = world.rules.started
+        assertEquals(4, started)
+        val short = world.cloud.workers.first { it.busy }.apply { deafUntil = world.time.now + 2500 }
+        world.run(20_000, busy = false)
+        assertTrue(short.alive && short.busy, "returned or emptied after two seconds")
+        assertEquals(started, world.rules.started, "its tasks were started again")
+    }
+
+    @Test
+    fun `a node that cannot send to any worker resigns and returns no machine`() {
+        val world = World(37, quietNetwork = true)
+        world.accept(world.plain(1) { it.copy(tasks = 16, cpus = 2.0, estimateS = 90.0, team = TeamId("free")) })
+        world.run(20_000, busy = false)
+        val leading = world.seats.first { it.controller?.reign() != null }
+        val machines = world.cloud.workers.filter { it.alive }
+        assertTrue(machines.size >= 3)
+        leading.trouble.sendsNothingUntil = world.time.now + 40_000
+        world.run(14_000, busy = false)
+        assertEquals(null, leading.controller?.reign(), "still leads")
+        assertTrue(machines.all { it.alive }, "machines were returned for the node's fault")
+    }
+
+    @Test
+    fun `a leader cut off with its workers loses them to its successor long before its grace is over`() {
+        val world = World(38, quietNetwork = true)
+        val job = world.accept(world.plain(1) { it.copy(estimateS = 60.0) })
+        world.run(20_000, busy = false)
+        val started = world.rules.started
+        val leading = world.seats.first { it.controller?.reign() != null }
+        leading.trouble.storeCutUntil = world.time.now + 40_000
+        leading.trouble.peersCutUntil = world.time.now + 40_000
+        // The hold runs out, the successor waits a moment and calls the workers: well before the grace of 13 s.
+        world.run(9000, busy = false)
+        val successor = world.seats.mapNotNull { it.controller?.reign() }.maxBy { it.mandate.term }
+        assertTrue(successor !== leading.controller?.reign())
+        assertTrue(successor.ledger.machines.values.filter { it.live.isNotEmpty() }.all { it.sawTerm }, "workers are still with the old leader")
+        world.expectDone(listOf(job), 80_000)
+        assertEquals(started, world.rules.started, "tasks were started again")
+    }
+
+    @Test
+    fun `nodes back within a fraction of a second, twice in a row and all at once, start nothing twice`() {
+        for (seed in 40L..44L) {
+            val world = World(seed, quietNetwork = true)
+            val job = world.accept(world.plain(1) { it.copy(estimateS = 30.0) })
+            world.run(12_000, busy = false)
+            repeat(4) {
+                world.seats.forEach { it.crash(world.random.nextLong(20, 300)) }
+                world.run(world.random.nextLong(100, 2200), busy = false)
+            }
+            world.expectDone(listOf(job), 60_000)
+            assertEquals(4, world.rules.started, "seed $seed")
+        }
+    }
+
+    @Test
+    fun `a job is served by the other nodes while one is kept from the state service and all peers`() {
+        val world = World(39, quietNetwork = true)
+        val job = world.accept(world.plain(1) { it.copy(estimateS = 90.0) })
+        world.run(10_000, busy = false)
+        val follower = world.seats.first { it.controller?.reign() == null }
+        follower.trouble.storeCutUntil = world.time.now + 60_000
+        follower.trouble.peersCutUntil = world.time.now + 60_000
+        world.run(8000, busy = false)
+        val users = follower.controller!!.users
+        val refused = users.status(job.text, relayed = false)
+        assertEquals(503 to true, refused.status to (refused.retryAfterS > 0), "answered at once")
+        world.rules.quietSince = world.time.now - 76_000
+        world.run(70_000, busy = false)
+    }
 }
--- a/src/test/kotlin/mountmast/coordination/SchedulerTest.kt
+++ b/src/test/kotlin/mountmast/coordination/SchedulerTest.kt
@@ -111,4 +111,30 @@
         val inA = spread.starts.count { it.machine.text == "m" }
         assertTrue(inA in 2..3 && spread.starts.size == 5, "$inA of ${spread.starts.size}")
     }
+
+    @Test
+    fun `a job passed over for long goes first, once, and within the bounds of its team`() {
+        // Smaller, more urgent and shorter work would otherwise go before it for good.
+        val waiting = job(1, free, tasks = 3, estimateS = 500.0, slackS = -900.0, waitedS = 100.0)
+        val urgent = job(2, free, tasks = 9, cpus = 1.0, urgency = Urgency.HIGH)
+        val starts = plan(listOf(machine("m", 8.0)), listOf(urgent, waiting)).starts
+        assertEquals("j-1", starts.first().job.text)
+        assertEquals(1, starts.count { it.job.text == "j-1" })
+        val bound = job(3, red, tasks = 1, cpus = 4.0, live = 0, waitedS = 100.0)
+        val full = job(4, red, tasks = 0, cpus = 16.0, live = 1)
+        val bounded = plan(listOf(machine("m", 0.0, listOf(resident(full, 0))), machine("n", 1.0)), listOf(bound, full))
+        assertTrue(bounded.holds.isEmpty() && bounded.starts.isEmpty(), "the bound on borrowing holds it back, not a lack of room")
+    }
+
+    @Test
+    fun `large tasks get machines kept where room comes soonest, and nothing is stopped for that`() {
+        val running = job(1, free, tasks = 0, cpus = 2.0, live = 12)
+        fun full(name: String, remainingS: Double, from: Int) =
+            machine(name, 0.0, (0..3).map { resident(running, from + it, remainingS + it) })
+        val machines = listOf(full("late", 40.0, 0), full("soon", 2.0, 4), full("later", 60.0, 8), machine("tight", 3.0))
+        val plan = plan(machines, listOf(running, job(2, free, tasks = 2, cpus = 4.0), job(3, free, tasks = 20, cpus = 1.0, slackS = 500.0)))
+        assertEquals(listOf(Hold(MachineId("soon"), JobId("j-2"))), plan.holds)
+        assertTrue(plan.evictions.isEmpty())
+        assertTrue(plan.starts.none { it.machine.text == "soon" }, "kept for the large tasks")
+    }
 }
--- a/src/test/kotlin/mountmast/standin/RulesTest.kt
+++ b/src/test/kotlin/mountmast/standin/RulesTest.kt
@@ -76,4 +76,16 @@
         breaks("forgotten") { rules.statusAnswered(spec.id, 404, null, 0) }
         breaks("forgotten") { rules.submissionAnswered(spec.id, 422) }
     }
+
+    @Test
+    fun `a job that nobody answers for once all troubles are over`() {
+        rules.submissionAnswered(spec.id, 201)
+        rules.asked(spec.id, answered = false, now = 10_000)
+        rules.asked(spec.id, answered = false, now = 100_000)
+        rules.quietSince = 50_000
+        rules.asked(spec.id, answered = false, now = 125_000)
+        breaks("forgotten") { rules.asked(spec.id, answered = false, now = 125_001) }
+        rules.asked(spec.id, answered = true, now = 126_000)
+        rules.asked(spec.id, answered = false, now = 300_000)
+    }
 }
--- a/src/test/kotlin/mountmast/standin/VirtualTime.kt
+++ b/src/test/kotlin/mountmast/standin/VirtualTime.kt
@@ -44,11 +44,15 @@
     var workersCutUntil = 0L
     var stalledUntil = 0L
     var peersCutUntil = 0L
+
+    /** What workers report arrives, but nothing that this node sends reaches any worker. */
+    var sendsNothingUntil = 0L
     var dieAtNextCall = false
 
     fun cutFromPeers() = time.now < peersCutUntil
     fun cutFromStore() = time.now < storeCutUntil
     fun refusedByStore() = time.now < storeRefusedUntil
+    fun sendsNothing() = time.now < sendsNothingUntil
     fun cutFromWorkers() = time.now < workersCutUntil
     fun stalled() = time.now < stalledUntil
 
--- a/src/test/kotlin/mountmast/standin/World.kt
+++ b/src/test/kotlin/mountmast/standin/World.kt
@@ -80,7 +80,7 @@
         private fun settings() = Settings(
             name, zones[number % 2], local(1), local(2),
             (0..2).filter { it != number }.map { Member(NodeId("node-$it"), zones[it % 2], local(2)) },
-            local(3), local(4), teams, REPORT_MS / 1000.0, LEASE_MS / 1000.0, CANCEL_MS / 1000.0, 80.0, 30.0, 2.0, 8, 5.0, 3.0, 100,
+            local(3), local(4), teams, 20.0, REPORT_MS / 1000.0, LEASE_MS / 1000.0, CANCEL_MS / 1000.0, 80.0, 30.0, 2.0, 8, 5.0, 3.0, 100,
         )
 
         private fun local(port: Int) = InetSocketAddress("127.0.0.1", port)
@@ -127,7 +127,7 @@
             fun execute(): OrdersOutcome =
                 if (worker.ordered(message.term, message.session, message.orders)) OrdersOutcome.Executed(worker.report())
                 else OrdersOutcome.Rejected(worker.report())
-            val lost = worker.cut || worker.deaf || worker.hanging || trouble.cutFromWorkers() || random.nextDouble() < trouble.lossRate
+            val lost = worker.cut || worker.deaf || worker.hanging || trouble.cutFromWorkers() || trouble.sendsNothing() || random.nextDouble() < trouble.lossRate
             if (!lost) return execute()
             if (random.nextInt(4) == 0) return OrdersOutcome.NotSent
             if (random.nextBoolean()) time.later(random.nextLong(100, 60_000)) { if (worker.alive) execute() }
@@ -194,13 +194,13 @@
             when (val outcome = controller.beat(report)) {
                 is BeatOutcome.Accepted -> {
                     val delay = if (quietNetwork) 0L else random.nextLong(0, 60)
-                    if (worker.deaf) worker.target = (worker.target + 1) % seats.size
+                    if (worker.deaf || seat.trouble.sendsNothing()) worker.target = (worker.target + 1) % seats.size
                     else if (random.nextDouble() >= seat.trouble.lossRate) {
                         time.later(delay) { worker.answered(outcome.answer.term, outcome.answer.orders, sentAt, report.session) }
                     }
                 }
                 is BeatOutcome.Elsewhere -> {
-                    val next = if (worker.deaf) -1 else seats.indexOfFirst { it.name == outcome.node }
+                    val next = if (worker.deaf || seat.trouble.sendsNothing()) -1 else seats.indexOfFirst { it.name == outcome.node }
                     worker.target = if (next < 0 || next == worker.target) (worker.target + 1) % seats.size else next
                 }
             }
@@ -280,7 +280,7 @@
         val seat = seats.random(random)
         val ms = random.nextLong(1000, 30_000)
         val worker = cloud.workers.filter { it.alive }.randomOrNull(random)
-        when (random.nextInt(20)) {
+        when (random.nextInt(21)) {
             0 -> seat.crash(if (random.nextBoolean()) 100L else 4000L)
             1 -> seat.trouble.dieAtNextCall = true
             2 -> seats.forEach { it.crash(random.nextLong(50, 4000)) }
@@ -312,6 +312,7 @@
                 time.later(random.nextLong(300, 2500)) { all.forEach { it.crash(random.nextLong(20, 400)) } }
             }
             18 -> worker?.reboot()
+            19 -> seat.trouble.sendsNothingUntil = time.now + ms
             else -> worker?.sick = true
         }
     }
