--- a/src/main/kotlin/mountmast/coordination/Node.kt
+++ b/src/main/kotlin/mountmast/coordination/Node.kt
@@ -76,7 +76,7 @@
     }
 
     private companion object {
-        const val SERVE_THREADS = 40
+        const val SERVE_THREADS = 60
         const val PEER_THREADS = 4
         const val SERVE_WAITING = 256
         const val POSTERS = 4
--- a/src/main/kotlin/mountmast/coordination/OperatorSettings.kt
+++ b/src/main/kotlin/mountmast/coordination/OperatorSettings.kt
@@ -12,7 +12,7 @@
 import javax.xml.stream.XMLStreamReader
 
 /** How many submissions, and how many polls, may be in progress at once, at the least and at the most. */
-data class Admission(val least: Int = 4, val most: Int = 16) {
+data class Admission(val least: Int = 8, val most: Int = 24) {
     fun limit() = AdmissionLimit(least, most)
 }
 
