Stopped attempts are not forgotten; silent machines hold up no commands; bounds follow the settings

Calls have threads of their own, and silent machines are sent nothing. - With reports every 5 s, 6 s without one is no sign of deafness: the bound follows report_s. - Half of the sockets for idle connections is less than 1,680 workers; the shares are one class now. - A machine whose lease ran out is kept for one lease: it returns with its images sooner than another boots.

--- a/src/main/kotlin/mountmast/Main.kt
+++ b/src/main/kotlin/mountmast/Main.kt
@@ -9,6 +9,7 @@
 import mountmast.transport.HttpCloud
 import mountmast.transport.HttpPeers
 import mountmast.transport.HttpWorkers
+import mountmast.transport.Sockets
 import java.security.SecureRandom
 import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
@@ -32,10 +33,10 @@
     // The JDK's client would otherwise send a request again by itself, and its server delay small answers.
     System.setProperty("sun.net.http.retryPost", "false")
     System.setProperty("sun.net.httpserver.nodelay", "true")
-    // Users and workers keep their connections open; half of the sockets stay free for what this node opens itself.
-    System.setProperty("sun.net.httpserver.maxIdleConnections", (settings.maxConnections / 2).toString())
+    val sockets = Sockets.of(settings.maxConnections)
+    System.setProperty("sun.net.httpserver.maxIdleConnections", sockets.idle.toString())
     System.setProperty("sun.net.httpserver.idleInterval", "60")
-    System.setProperty("jdk.httpserver.maxConnections", (settings.maxConnections * 3 / 4).toString())
+    System.setProperty("jdk.httpserver.maxConnections", sockets.accepted.toString())
     val run = SecureRandom().nextLong().toULong().toString(36)
     val store = HttpStateStore(settings.state, settings.stateRps, settings.stateWriteRps, settings.nodes)
     store.shareAs(leader = false)
--- a/src/main/kotlin/mountmast/coordination/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/Controller.kt
@@ -41,7 +41,7 @@
     /** Drawn at each start, so that no two processes are ever taken for one another. */
     private val run: String,
 ) : BeatService, PeerService {
-    private val timing = Timing.of(settings.leaseS, settings.cancelS, settings.clockOffMs)
+    private val timing = Timing.of(settings.leaseS, settings.cancelS, settings.clockOffMs, settings.reportS)
     private val leadership = Leadership(store, settings.node, run, timing, clock)
     private val desk = JobDesk(store, settings.teams, clock, ::relay, ::ready)
 
@@ -125,7 +125,7 @@
         store.shareAs(leader = true)
         val reign = Reign(mandate, store, workers, settings.teams, policy, timing, clock)
         val writer = LedgerWriter(reign, store, WriteLimits(settings.valueKb, settings.txnOps), clock) { leadership.lost() }
-        val fleet = Fleet(reign, cloud, clock, "${settings.node}-$run-${mandate.term}", fleetPolicy)
+        val fleet = Fleet(reign, cloud, clock, "${settings.node}-$run-${mandate.term}", fleetPolicy, timing)
         office.set(Office(reign, writer, fleet))
     }
 
@@ -175,6 +175,9 @@
     /** Sends commands to one worker; false where there were none to send. */
     fun post(waitMs: Long): Boolean = reign()?.postNext(waitMs) ?: false
 
+    /** Calls one worker that may still be with a former leader; false where there was none to call. */
+    fun call(): Boolean = reign()?.callNext() ?: false
+
     override fun beat(report: WorkerReport): BeatOutcome {
         leadership.heard(report.term)
         val mandate = leadership.mandate() ?: return help(report) ?: BeatOutcome.Elsewhere(leadership.leader())
--- a/src/main/kotlin/mountmast/coordination/Fleet.kt
+++ b/src/main/kotlin/mountmast/coordination/Fleet.kt
@@ -39,6 +39,7 @@
     /** Begins the names of rental requests; no other process ever uses the same. */
     private val rentalPrefix: String,
     private val policy: FleetPolicy,
+    private val timing: Timing,
 ) {
     private val ledger get() = reign.ledger
     private val unavailable = HashMap<Offer, Moment>()
@@ -160,7 +161,9 @@
         val type = ledger.types[machine.type] ?: return false
         val bootMs = (type.bootS * 1000).toLong()
         return when (machine.state) {
-            MachineState.EXPIRED -> true
+            // A machine that hung or was cut off comes back with its images, sooner than another one boots; one that is
+            // dead is listed as failed soon, and costs nothing.
+            MachineState.EXPIRED -> machine.listedFailed || now - machine.expiredAt > timing.leaseOverMs
             MachineState.SILENT -> machine.listedFailed
             MachineState.BOOTING -> machine.listedFailed ||
                 now - maxOf(machine.rentedAt, machine.knownAt + -bootMs) > BOOT_PATIENCE * bootMs + BOOT_EXTRA_MS
@@ -257,10 +260,13 @@
         return wishes
     }
 
+    /** A machine that was running when this leader came reports within this time, or never. */
+    private val soonHeardMs get() = timing.quietMs + SLOW_MS
+
     /** Whether it boots, or its worker has yet to show our token: no pass has given it work so far. */
     private fun comesSoon(machine: Machine, now: Moment): Boolean = !machine.deleting && !machine.noticed && when (machine.state) {
-        MachineState.BOOTING -> !machine.listedRunning || now - machine.knownAt < SOON_HEARD_MS
-        MachineState.UP -> !machine.sawTerm && machine.live.isEmpty() && now - machine.sessionSince < SOON_HEARD_MS
+        MachineState.BOOTING -> !machine.listedRunning || now - machine.knownAt < soonHeardMs
+        MachineState.UP -> !machine.sawTerm && machine.live.isEmpty() && now - machine.sessionSince < soonHeardMs
         else -> false
     }
 
@@ -311,7 +317,7 @@
         const val LOSS_WEIGHT = 0.1
         const val MOST_WISHES = 200
 
-        /** A machine that was running when this leader came reports within this time, or never. */
-        const val SOON_HEARD_MS = 8000L
+        /** Beyond the time in which any worker reports, for a node that is still slow. */
+        const val SLOW_MS = 2000L
     }
 }
--- a/src/main/kotlin/mountmast/coordination/Leadership.kt
+++ b/src/main/kotlin/mountmast/coordination/Leadership.kt
@@ -29,10 +29,16 @@
 private val log = LoggerFactory.getLogger("mountmast.leadership")
 
 /** How long leaders may act without the state service, derived from what the workers are promised. */
-data class Timing(val ttlMs: Long, val graceMs: Long, val leaseMs: Long, val clockOffMs: Long) {
+data class Timing(val ttlMs: Long, val graceMs: Long, val leaseMs: Long, val clockOffMs: Long, val reportMs: Long) {
     /** After this long without an answer from a leader a worker has given up its tasks, drift included. */
     val leaseOverMs: Long get() = drifted(leaseMs) + MARGIN_MS
 
+    /**
+     * A worker that was silent for so long has left out a report: two of the longest intervals, and the pause before it
+     * tries another node.
+     */
+    val quietMs: Long get() = maxOf(LEAST_QUIET_MS, reportMs * 5 / 2 + RETRY_MS)
+
     /** For this long after its election a leader must suppose that the one before still answers workers. */
     val formerLeaderMs: Long get() = drifted(graceMs) + MARGIN_MS
 
@@ -48,6 +54,8 @@
     companion object {
         private const val MARGIN_MS = 500L
         private const val HELP_MS = 8000L
+        private const val LEAST_QUIET_MS = 6000L
+        private const val RETRY_MS = 1000L
         private const val TTL_SHARE = 0.35
         private const val LEAST_TTL_MS = 2000L
         private const val MOST_TTL_MS = 5000L
@@ -62,12 +70,12 @@
          * The grace ends early enough that a task which only a cut-off leader can reach is gone within
          * `cancel_s` of its cancellation: the hold, the grace and the worker's lease run out one after another.
          */
-        fun of(leaseS: Double, cancelS: Double, clockOffMs: Double): Timing {
+        fun of(leaseS: Double, cancelS: Double, clockOffMs: Double, reportS: Double): Timing {
             val lease = (leaseS * 1000).toLong()
             // A successor must be found, and be found by the workers, well before their leases run out.
             val ttl = (lease * TTL_SHARE).toLong().coerceIn(LEAST_TTL_MS, MOST_TTL_MS)
             val grace = (cancelS * 1000).toLong() - lease - ttl - RESERVE_MS
-            return Timing(ttl, grace.coerceIn(0, 60_000), lease, Math.ceil(clockOffMs).toLong())
+            return Timing(ttl, grace.coerceIn(0, 60_000), lease, Math.ceil(clockOffMs).toLong(), (reportS * 1000).toLong())
         }
     }
 }
--- a/src/main/kotlin/mountmast/coordination/Ledger.kt
+++ b/src/main/kotlin/mountmast/coordination/Ledger.kt
@@ -212,6 +212,9 @@
 
     var heardAt = Moment(0)
 
+    /** When its lease was found to be over. */
+    var expiredAt = Moment(0)
+
     /** When a report was last answered, or the session became known: its lease runs from then at the latest. */
     var answeredAt = Moment(0)
 
@@ -310,7 +313,7 @@
 }
 
 /** A task on a machine that the ledger has no assignment for. */
-class Stranger(val taskName: String, val attempt: Attempt, val exited: Boolean)
+class Stranger(val taskName: String, val attempt: Attempt, val exited: Boolean, val completed: Boolean)
 
 /**
  * Everything the leader knows: jobs, tasks, machines and what each team uses. Not thread-safe: guarded by the
@@ -575,7 +578,9 @@
         for (reported in report.tasks) {
             val assignment = machine.live[reported.task]
             if (assignment == null || assignment.attempt != reported.attempt || assignment.session != report.session) {
-                strangers += Stranger(reported.task, reported.attempt, reported.state == TaskState.EXITED)
+                strangers += Stranger(
+                    reported.task, reported.attempt, reported.state == TaskState.EXITED, reported.cause == ExitCause.DONE,
+                )
                 continue
             }
             if (assignment.phase >= Phase.ENDED) continue
--- a/src/main/kotlin/mountmast/coordination/Node.kt
+++ b/src/main/kotlin/mountmast/coordination/Node.kt
@@ -3,6 +3,7 @@
 import mountmast.protocol.Settings
 import mountmast.transport.Admissions
 import mountmast.transport.BoundedServer
+import mountmast.transport.Sockets
 import mountmast.transport.peerRoutes
 import mountmast.transport.publicRoutes
 import org.agrona.ErrorHandler
@@ -19,10 +20,11 @@
     fun start() {
         // What users submit is shed first: their polls have a limit of their own, and both leave threads to the workers.
         val admission = Admissions(operators.admission.limit(), operators.admission.limit())
+        val sockets = Sockets.of(settings.maxConnections)
         publicRoutes(controller.users, controller, admission)
-            .asServer(BoundedServer(settings.serveOn, "serve", SERVE_THREADS, SERVE_WAITING)).start()
+            .asServer(BoundedServer(settings.serveOn, "serve", SERVE_THREADS, sockets.waiting)).start()
         peerRoutes(controller.users, controller)
-            .asServer(BoundedServer(settings.peerListen, "peer", PEER_THREADS, SERVE_WAITING)).start()
+            .asServer(BoundedServer(settings.peerListen, "peer", PEER_THREADS, PEER_WAITING)).start()
         loop("leadership") {
             controller.lead()
             if (controller.awaitVacancy(LEADERSHIP_MS)) LEADERSHIP_GAP_MS else LEADERSHIP_MS
@@ -47,7 +49,8 @@
         whileLeading("writer") { reign -> if (!controller.write()) reign.awaitWritable(WRITE_IDLE_MS); WRITE_GAP_MS }
         whileLeading("follow") { if (controller.follow(FOLLOW_MS)) FOLLOW_GAP_MS else FAILED_MS }
         whileLeading("fleet") { controller.manageFleet(); FLEET_MS }
-        repeat(POSTERS) { number -> whileLeading("poster-$number") { if (controller.post(POST_WAIT_MS)) 0 else POST_GAP_MS } }
+        repeat(CALLERS) { number -> whileLeading("caller-$number") { if (controller.call()) 0 else CALL_GAP_MS } }
+        repeat(sockets.posters) { number -> whileLeading("poster-$number") { if (controller.post(POST_WAIT_MS)) 0 else POST_GAP_MS } }
         log.info("{} serves on {}", settings.node, settings.serveOn)
     }
 
@@ -78,8 +81,9 @@
     private companion object {
         const val SERVE_THREADS = 60
         const val PEER_THREADS = 4
-        const val SERVE_WAITING = 256
-        const val POSTERS = 4
+        const val PEER_WAITING = 256
+        const val CALLERS = 8
+        const val CALL_GAP_MS = 500L
         const val STACK_BYTES = 256L * 1024
         const val LEADERSHIP_MS = 700L
         const val LEADERSHIP_GAP_MS = 50L
--- a/src/main/kotlin/mountmast/coordination/Reign.kt
+++ b/src/main/kotlin/mountmast/coordination/Reign.kt
@@ -66,6 +66,9 @@
     private val postQueue = LinkedHashSet<MachineId>()
     private val postable: Condition = lock.newCondition()
 
+    /** Workers to be called away from a former leader: apart from the commands, which must not wait for silent hosts. */
+    private val callQueue = LinkedHashSet<MachineId>()
+
     /** Machine types that the store does not hold yet. */
     var pendingTypes: MachineTypes? = null
 
@@ -291,7 +294,7 @@
             for (stranger in machine.strangers) {
                 if (!stranger.exited) {
                     orders += Order(Verb.STOP, stranger.taskName, stranger.attempt, 0.0)
-                } else if (stranger.taskName to stranger.attempt !in machine.mayStillStart) {
+                } else if (mayForget(stranger, machine)) {
                     orders += Order(Verb.FORGET, stranger.taskName, stranger.attempt)
                 }
             }
@@ -299,6 +302,13 @@
         return orders
     }
 
+    /**
+     * A start that comes once more, even one that was carried out and answered, runs an attempt again that the worker has
+     * forgotten: beside the next attempt, or long after its job was cancelled. What completed would only complete again.
+     */
+    private fun mayForget(stranger: Stranger, machine: Machine) =
+        (stranger.completed || machine.strangers.size > MOST_KEPT) && stranger.taskName to stranger.attempt !in machine.mayStillStart
+
     /** Has the commands for a machine sent soon; the caller holds the lock. */
     fun queuePost(id: MachineId) {
         postQueue += id
@@ -307,10 +317,7 @@
 
     /** Waits for a machine with commands to send, sends them and reads the answer. */
     fun postNext(waitMs: Long): Boolean {
-        var chosen: Machine? = null
-        var orders: List<Order> = emptyList()
-        var session = Session(1u)
-        lock.withLock {
+        val command = lock.withLock {
             if (postQueue.isEmpty() && waitMs > 0) postable.await(waitMs, java.util.concurrent.TimeUnit.MILLISECONDS)
             val now = clock.now()
             val id = postQueue.firstOrNull { id ->
@@ -318,35 +325,55 @@
             } ?: return false
             postQueue -= id
             val machine = ledger.machines[id] ?: return true
-            if (machine.address == null || machine.deleting) return true
-            val pulls = needsPull(machine, now)
-            if (machine.state != MachineState.UP && !pulls) return true
-            session = machine.session ?: machine.live.values.firstOrNull()?.session ?: session
-            orders = if (machine.session == null) emptyList() else outstanding(machine, inBeat = null)
-            if (orders.isEmpty() && !pulls) return true
-            machine.postInFlight = true
-            machine.pulledAt = now
+            if (machine.state != MachineState.UP || machine.session == null || machine.deleting) return true
+            // A host behind a cut holds a poster until its deadline, and with a fifth of the fleet cut the commands to all
+            // the others waited. Whoever is silent gets them in the answer to its next report.
+            if (now - machine.heardAt > timing.quietMs) return true
+            val orders = outstanding(machine, inBeat = null)
+            if (orders.isEmpty()) return true
             forStarts(machine, orders) { it.postsOut++ }
-            chosen = machine
+            machine.postInFlight = true
+            Command(machine, checkNotNull(machine.session), orders)
         }
-        val machine = checkNotNull(chosen)
-        val outcome = workers.order(checkNotNull(machine.address), OrdersMessage(mandate.term, session, orders))
-        lock.withLock { posted(machine, orders, outcome) }
+        send(command)
         return true
     }
 
+    /** Calls one worker that may still be with a former leader; false where none is to be called now. */
+    fun callNext(): Boolean {
+        val command = lock.withLock {
+            val id = callQueue.firstOrNull() ?: return false
+            callQueue -= id
+            val known = ledger.machines[id] ?: return true
+            if (known.postInFlight || !needsPull(known, clock.now())) return true
+            known.postInFlight = true
+            known.pulledAt = clock.now()
+            Command(known, known.session ?: known.live.values.firstOrNull()?.session ?: Session(1u), emptyList())
+        }
+        send(command)
+        return true
+    }
+
+    /** Orders of one session: sent in any other, a start would run in a session that its assignment is not for. */
+    private class Command(val machine: Machine, val session: Session, val orders: List<Order>)
+
+    private fun send(command: Command) {
+        val message = OrdersMessage(mandate.term, command.session, command.orders)
+        val outcome = workers.order(checkNotNull(command.machine.address), message)
+        lock.withLock { posted(command.machine, command.orders, outcome) }
+    }
+
     /**
      * A worker that still reports to the leader before, which may be cut off from everybody else, learns of us only
      * from a command: our token in it, even without any order, makes it look for the new leader.
      */
     private fun needsPull(machine: Machine, now: Moment) =
-        !machine.sawTerm && machine.state != MachineState.EXPIRED && machine.state != MachineState.BOOTING &&
-            now - readyAt > PULL_AFTER_MS && now - machine.pulledAt > PULL_AFTER_MS
+        machine.address != null && !machine.deleting && !machine.sawTerm && machine.state != MachineState.EXPIRED &&
+            machine.state != MachineState.BOOTING && now - readyAt > PULL_AFTER_MS && now - machine.pulledAt > PULL_AFTER_MS
 
     private fun pullWorkers(now: Moment) {
         if (now - readyAt > timing.formerLeaderMs + timing.leaseOverMs) return
-        ledger.machines.values.asSequence().filter { it.address != null && !it.postInFlight && needsPull(it, now) }
-            .take(PULLS_AT_ONCE).forEach { queuePost(it.id) }
+        for (machine in ledger.machines.values) if (needsPull(machine, now)) callQueue += machine.id
     }
 
     private fun posted(machine: Machine, orders: List<Order>, outcome: OrdersOutcome) {
@@ -367,7 +394,7 @@
     private inline fun forStarts(machine: Machine, orders: List<Order>, act: (Assignment) -> Unit) {
         for (order in orders) {
             if (order.verb != Verb.START) continue
-            machine.live.values.firstOrNull { it.taskName == order.task && it.attempt == order.attempt }?.let(act)
+            machine.live[order.task]?.takeIf { it.attempt == order.attempt }?.let(act)
         }
     }
 
@@ -388,6 +415,7 @@
             log.info("machine {} silent: its lease is over, {} tasks lost", machine.id, machine.live.size)
             ledger.endSession(machine, null)
             machine.state = MachineState.EXPIRED
+            machine.expiredAt = now
             writable.signalAll()
         }
     }
@@ -396,9 +424,9 @@
     fun unfit(): String? = lock.withLock {
         val now = clock.now()
         val up = ledger.machines.values.filter { it.state == MachineState.UP && !it.deleting }
-        if (!ready || now - readyAt < DEAF_MS || up.size < LEAST_FOR_DEAF) return null
+        if (!ready || now - readyAt < timing.quietMs || up.size < LEAST_FOR_DEAF) return null
         when {
-            up.count { now - it.heardAt < DEAF_MS } * 2 < up.size -> "hardly any worker gets through to this node"
+            up.count { now - it.heardAt < timing.quietMs } * 2 < up.size -> "hardly any worker gets through to this node"
             manyUnreached() -> "this node reaches hardly any worker"
             else -> null
         }
@@ -603,10 +631,11 @@
         const val TIDY_MS = 1000L
         const val VICTIMS_PER_ENTRY = 16
         const val MOST_UNHEARD = 2
+
+        /** Attempts that a worker need not forget within a session; reports must not grow without end. */
+        const val MOST_KEPT = 64
         const val SETTLING_MS = 15_000L
         const val PULL_AFTER_MS = 3000L
-        const val PULLS_AT_ONCE = 20
-        const val DEAF_MS = 6000L
         const val LEAST_FOR_DEAF = 3
         const val NO_DEADLINE_S = 1e6
         const val REMEMBERED = 1000
--- /dev/null
+++ b/src/main/kotlin/mountmast/transport/Sockets.kt
@@ -0,0 +1,35 @@
+package mountmast.transport
+
+/**
+ * How a node's sockets are shared out. Every worker and many users keep a connection open to the leader, so most are for
+ * what comes in; the rest stay free for peers, the state service, the cloud and direct commands, so that a flood from
+ * outside never keeps a leader from renewing.
+ */
+data class Sockets(
+    /** Connections taken in at most; more are refused by closing them. */
+    val accepted: Int,
+    /** Connections kept open between requests: closing those of workers only makes them connect again. */
+    val idle: Int,
+    /** Requests that wait for a thread at most. */
+    val waiting: Int,
+    /** Commands sent to workers at once. */
+    val posters: Int,
+) {
+    companion object {
+        /** The shares of [most] sockets. */
+        fun of(most: Int): Sockets {
+            val own = maxOf(minOf(LEAST_OWN, most / 2), most / OWN_SHARE)
+            val accepted = most - own
+            return Sockets(accepted, accepted, (most / WAITING_SHARE).coerceIn(LEAST_WAITING, MOST_WAITING), (most / PER_POSTER).coerceIn(LEAST_POSTERS, MOST_POSTERS))
+        }
+
+        private const val LEAST_OWN = 64
+        private const val OWN_SHARE = 10
+        private const val WAITING_SHARE = 4
+        private const val LEAST_WAITING = 64
+        private const val MOST_WAITING = 1024
+        private const val PER_POSTER = 150
+        private const val LEAST_POSTERS = 4
+        private const val MOST_POSTERS = 16
+    }
+}
--- a/src/main/kotlin/mountmast/transport/WebServer.kt
+++ b/src/main/kotlin/mountmast/transport/WebServer.kt
@@ -23,7 +23,7 @@
     override val stopMode = ServerConfig.StopMode.Immediate
 
     override fun toServer(http: HttpHandler): Http4kServer {
-        val server = HttpServer.create(at, BACKLOG)
+        val server = HttpServer.create(at, maxOf(BACKLOG, waiting))
         val pool = ThreadPoolExecutor(
             threads, threads, IDLE_S, TimeUnit.SECONDS, LinkedBlockingQueue(waiting),
             { task -> Thread(null, task, name, STACK_BYTES).apply { isDaemon = true } },
--- /dev/null
+++ b/src/test/kotlin/mountmast/coordination/FleetSizeTest.kt
@@ -0,0 +1,77 @@
+package mountmast.coordination
+
+import mountmast.protocol.ImageId
+import mountmast.protocol.JobId
+import mountmast.protocol.Shape
+import mountmast.protocol.TeamId
+import mountmast.protocol.Urgency
+import mountmast.standin.World
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Some 1,700 machines: what is done is counted, not timed. */
+class FleetSizeTest {
+    private val world = World(90, quietNetwork = true, perOffer = 213)
+
+    private fun submit(numbers: IntRange, runS: Double): List<JobId> = numbers.map { number ->
+        val spec = world.job(number) {
+            it.copy(
+                team = TeamId("free"), shape = Shape.ARRAY, urgency = Urgency.NORMAL, tasks = TASKS, cpus = 2.0, memoryGb = 4.0,
+                image = ImageId("i"), imageGb = 0.2, types = null, zone = null, oneZone = false, spread = false,
+                spotAllowed = true, estimateS = runS, checkpointEveryS = 0.0, deadlineS = null,
+            )
+        }
+        assertEquals(201, world.submit(spec))
+        spec.id
+    }
+
+    private fun leader() = world.seats.mapNotNull { it.controller?.reign() }.maxBy { it.mandate.term }
+
+    @Test
+    fun `1700 machines are filled, all nodes end at once, and a third of the fleet is lost and made good`() {
+        world.run(5000, busy = false)
+        submit(1..JOBS, runS = 400.0)
+        world.run(75_000, busy = false)
+        val machines = world.cloud.workers.count { it.alive }
+        val started = world.rules.started
+        assertTrue(machines in 1550..1704, "$machines machines")
+        assertTrue(started in 7500..8400, "$started starts")
+        // A command holds all starts of a machine that one pass decided on.
+        assertTrue(world.ordersSent <= started, "${world.ordersSent} commands for $started starts")
+        // Hundreds of starts share a record, and polls of what is not final cost one request each.
+        assertTrue(world.store.writes < 3000, "${world.store.writes} writes")
+        assertTrue(world.store.mostOps <= 8, "${world.store.mostOps} in one transaction")
+        assertTrue(world.store.largestValue < 2 * 1024)
+
+        // Once all is placed, what is written and asked no longer depends on how much runs.
+        val (requests, writes, orders) = Triple(world.store.requests, world.store.writes, world.ordersSent)
+        world.run(10_000, busy = false)
+        assertTrue(world.store.requests - requests < 400, "${world.store.requests - requests} requests in 10 s")
+        assertTrue(world.store.writes - writes < 150, "${world.store.writes - writes} writes in 10 s")
+        assertEquals(orders, world.ordersSent)
+
+        // Twice in a row, the second time before the first recovery is complete.
+        world.seats.forEach { it.crash(world.random.nextLong(50, 800)) }
+        world.run(1500, busy = false)
+        world.seats.forEach { it.crash(world.random.nextLong(50, 800)) }
+        world.run(15_000, busy = false)
+        assertTrue(world.rules.started <= ALL_TASKS, "${world.rules.started - started} starts, ${ALL_TASKS - started} were left")
+        assertTrue(leader().ledger.machines.values.sumOf { it.live.size } in started..ALL_TASKS)
+        assertTrue(leader().ledger.machines.values.filter { it.live.isNotEmpty() }.all { it.sawTerm })
+
+        val hit = world.cloud.workers.filter { it.alive && it.busy }.filterIndexed { i, _ -> i % 3 == 0 }
+        for ((i, worker) in hit.withIndex()) if (i % 2 == 0) world.cloud.take(worker.id) else worker.cutUntil = world.time.now + 9000
+        val vain = world.ordersInVain
+        world.run(40_000, busy = false)
+        assertTrue(world.ordersInVain - vain < hit.size, "${world.ordersInVain - vain} commands to silent machines")
+        val running = leader().ledger.machines.values.sumOf { machine -> machine.live.values.count { it.runningSince != null } }
+        assertTrue(running > started * 9 / 10, "$running of $started run again")
+    }
+
+    private companion object {
+        const val JOBS = 56
+        const val TASKS = 150
+        const val ALL_TASKS = JOBS * TASKS
+    }
+}
--- a/src/test/kotlin/mountmast/coordination/RecoveryTest.kt
+++ b/src/test/kotlin/mountmast/coordination/RecoveryTest.kt
@@ -3,10 +3,12 @@
 import mountmast.protocol.JobId
 import mountmast.protocol.JobSpec
 import mountmast.protocol.JobStatus
+import mountmast.protocol.Order
 import mountmast.protocol.Shape
 import mountmast.protocol.TeamId
 import mountmast.protocol.TypeId
 import mountmast.protocol.Urgency
+import mountmast.protocol.Verb
 import mountmast.standin.World
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNotNull
@@ -327,4 +329,81 @@
         world.run(13_000, busy = false)
         assertTrue(reign === leading.controller!!.reign(), "resigned")
     }
+
+    @Test
+    fun `a machine that hung beyond its lease is used again and not returned`() {
+        // Returned at once, a hundred hanging machines were rented anew, which takes a boot, a fetch and a minute's pay.
+        val world = World(46, quietNetwork = true)
+        world.accept(world.plain(1) { it.copy(tasks = 8, estimateS = 90.0, team = TeamId("free")) })
+        world.run(20_000, busy = false)
+        val hung = world.cloud.workers.first { it.busy }.apply { hangUntil = world.time.now + World.LEASE_MS + 3000 }
+        world.run(World.LEASE_MS + 2500, busy = false)
+        assertEquals(MachineState.EXPIRED, world.leader().ledger.machines.getValue(hung.id).state)
+        world.run(6000, busy = false)
+        assertTrue(hung.alive && hung.busy, "returned, or left idle")
+        hung.hangUntil = world.time.now + 60_000
+        world.run(3 * World.LEASE_MS, busy = false)
+        assertTrue(!hung.alive, "kept for good")
+    }
+
+    @Test
+    fun `commands are not sent to machines that are silent`() {
+        // Each held a poster until its deadline, and with a part of the fleet cut all other commands waited behind them.
+        val world = World(47, quietNetwork = true, perOffer = 30)
+        world.accept(world.plain(1) { it.copy(tasks = 120, estimateS = 30.0, team = TeamId("free"), spotAllowed = false) })
+        world.run(30_000, busy = false)
+        val cut = world.cloud.workers.filter { it.alive }.take(20).onEach { it.cutUntil = world.time.now + 60_000 }
+        world.run(6500, busy = false)
+        val before = world.ordersInVain
+        val id = world.accept(world.plain(2) { it.copy(tasks = 40, team = TeamId("free")) })
+        world.run(4000, busy = false)
+        world.cancel(id)
+        world.run(2000, busy = false)
+        assertTrue(cut.all { it.alive })
+        assertEquals(before, world.ordersInVain)
+    }
+
+    @Test
+    fun `a node that stands still for leases in the middle of anything breaks no rule and loses no job`() {
+        for (seed in 50L..61L) {
+            val world = World(seed)
+            val jobs = (1..4).map { world.accept(world.plain(it) { spec -> spec.copy(estimateS = 12.0) }) }
+            repeat(5) {
+                val leading = world.seats.firstOrNull { it.controller?.reign() != null }
+                (leading ?: world.seats.first()).trouble.pauseAtNextCallMs = world.random.nextLong(200, 4 * World.LEASE_MS)
+                world.run(world.random.nextLong(1000, 12_000), busy = false)
+            }
+            world.rules.quietSince = world.time.now + 4 * World.LEASE_MS
+            world.expectDone(jobs, 150_000)
+        }
+    }
+
+    @Test
+    fun `a zone cut off from all else loses no job, with controllers and work on either side`() {
+        for (seed in 70L..75L) {
+            val world = World(seed, quietNetwork = true)
+            val jobs = (1..6).map { number ->
+                world.accept(world.plain(number) { it.copy(estimateS = 10.0, zone = world.zones[number % 2]) })
+            }
+            world.run(12_000, busy = false)
+            world.cutOff(world.zones[(seed % 2).toInt()], 4 * World.LEASE_MS)
+            world.run(4 * World.LEASE_MS, busy = false)
+            world.expectDone(jobs, 90_000)
+        }
+    }
+
+    @Test
+    fun `an attempt that was stopped is not forgotten, since its start may come once more`() {
+        val world = World(48, quietNetwork = true)
+        val id = world.accept(world.plain(1) { it.copy(estimateS = 60.0) })
+        world.run(15_000, busy = false)
+        val worker = world.cloud.workers.first { it.busy }
+        val started = worker.report()
+        val again = started.tasks.map { Order(Verb.START, it.task, it.attempt) }
+        assertEquals(200, world.cancel(id))
+        world.run(World.CANCEL_MS + 5000, busy = false)
+        worker.ordered(started.term, started.session, again)
+        world.run(2000, busy = false)
+        assertTrue(!worker.busy, "a cancelled task runs")
+    }
 }
--- a/src/test/kotlin/mountmast/standin/StandInCloud.kt
+++ b/src/test/kotlin/mountmast/standin/StandInCloud.kt
@@ -69,13 +69,14 @@
     /** The cloud as one node reaches it. */
     inner class View(private val trouble: Trouble) : Cloud {
         private fun <T> ask(act: () -> T): T {
-            trouble.mayDie(random)
+            trouble.mayStrike(random)
             if (time.now < outageUntil) throw CloudTrouble("outage", mayBeCarriedOut = false)
             if (random.nextDouble() < trouble.lossRate) {
                 if (random.nextBoolean()) act() else time.later(random.nextLong(100, 15_000)) { act() }
                 throw CloudTrouble("lost", mayBeCarriedOut = true)
             }
-            return act().also { trouble.mayDie(random) }
+            trouble.mayRepeat(random) { act() }
+            return act().also { trouble.mayStrike(random) }
         }
 
         override fun machineTypes() = ask { types }
--- a/src/test/kotlin/mountmast/standin/StandInStore.kt
+++ b/src/test/kotlin/mountmast/standin/StandInStore.kt
@@ -31,6 +31,14 @@
     var largestValue = 0
         private set
 
+    /** Requests so far, those that were refused included; puts and deletes; the most of them in one transaction. */
+    var requests = 0
+        private set
+    var writes = 0
+        private set
+    var mostOps = 0
+        private set
+
     fun outage(forMs: Long) {
         outageUntil = maxOf(outageUntil, world.now + forMs)
         // An outage gives all leases their full time again.
@@ -60,6 +68,8 @@
 
     private fun commit(transaction: Transaction): CommitOutcome {
         expire()
+        writes += transaction.writes.size
+        mostOps = maxOf(mostOps, transaction.writes.size)
         for (write in transaction.writes) {
             if (write is Write.Put && write.hold != null && write.hold!!.number.toLong() !in holds) throw HoldEnded(write.hold!!)
         }
@@ -87,7 +97,8 @@
         override fun shareAs(leader: Boolean) = Unit
 
         private fun <T> ask(silentAllowed: Boolean = true, act: () -> T): T {
-            trouble.mayDie(random)
+            trouble.mayStrike(random)
+            requests++
             if (out || trouble.refusedByStore()) {
                 reachable = false
                 throw StoreRefused("refused")
@@ -106,7 +117,8 @@
                 throw StoreSilent("lost")
             }
             reachable = true
-            return act().also { trouble.mayDie(random) }
+            if (silentAllowed) trouble.mayRepeat(random) { if (!out) act() }
+            return act().also { trouble.mayStrike(random) }
         }
 
         override fun get(key: String): Entry? = ask(false) { expire(); values[key]?.let { Entry(key, it.data, Stamp(it.stamp.toULong())) } }
--- a/src/test/kotlin/mountmast/standin/StandInWorker.kt
+++ b/src/test/kotlin/mountmast/standin/StandInWorker.kt
@@ -40,6 +40,9 @@
     private val tasks = LinkedHashMap<TaskId, Running>()
     private val progress = HashMap<TaskId, Long>()
     private val images = HashSet<ImageId>()
+
+    /** Tasks that completed here: started again, they exit as soon as they have their image. */
+    private val results = HashSet<TaskId>()
     private var session = 1uL
     private var tally = 0uL
     private var helm = Term(0u)
@@ -103,6 +106,7 @@
     }
 
     private fun begin(task: TaskId, it: Running) {
+        if (task in results) return exit(task, it, ExitCause.DONE)
         it.state = TaskState.RUNNING
         it.leftMs = ((it.spec.estimateS * 1000).toLong() + 500) * slowTimes
         rules.taskStarts(task, place, time.now)
@@ -113,6 +117,7 @@
         val was = it.onMachine
         it.state = TaskState.EXITED
         it.cause = cause
+        if (cause == ExitCause.DONE) results += task
         if (was) rules.taskGone(task, id, cause == ExitCause.DONE)
     }
 
--- a/src/test/kotlin/mountmast/standin/VirtualTime.kt
+++ b/src/test/kotlin/mountmast/standin/VirtualTime.kt
@@ -23,7 +23,8 @@
             now = maxOf(now, at)
             act()
         }
-        now = until
+        // What happened meanwhile may itself have let time pass.
+        now = maxOf(now, until)
     }
 
     /** A host's clocks: the steady one drifts, the time of day is off. */
@@ -49,6 +50,15 @@
     var sendsNothingUntil = 0L
     var dieAtNextCall = false
 
+    /** How long the process stands still in the middle of what it does, from one of its next calls on. */
+    var pauseAtNextCallMs = 0L
+
+    /** Lets time pass for everybody else. */
+    var standStill: (Long) -> Unit = {}
+
+    /** Whether requests that were carried out may be carried out once more, long afterwards. */
+    var repeats = false
+
     fun cutFromPeers() = time.now < peersCutUntil
     fun cutFromStore() = time.now < storeCutUntil
     fun refusedByStore() = time.now < storeRefusedUntil
@@ -56,10 +66,25 @@
     fun cutFromWorkers() = time.now < workersCutUntil
     fun stalled() = time.now < stalledUntil
 
-    fun mayDie(random: Random) {
+    /** Called where a process talks to another: before what it says is carried out, and before it learns the outcome. */
+    fun mayStrike(random: Random) {
+        if (pauseAtNextCallMs > 0 && random.nextInt(3) == 0) {
+            val ms = pauseAtNextCallMs
+            pauseAtNextCallMs = 0
+            standStill(ms)
+        }
         if (dieAtNextCall && random.nextInt(3) == 0) {
             dieAtNextCall = false
             throw NodeDied()
         }
     }
+
+    /** At times has what was just carried out [act] again, from a moment to minutes later. */
+    fun mayRepeat(random: Random, act: () -> Unit) {
+        if (repeats && random.nextInt(REPEATED_ONE_IN) == 0) time.later(random.nextLong(50, 60_000)) { runCatching(act) }
+    }
+
+    private companion object {
+        const val REPEATED_ONE_IN = 12
+    }
 }
--- a/src/test/kotlin/mountmast/standin/World.kt
+++ b/src/test/kotlin/mountmast/standin/World.kt
@@ -34,7 +34,7 @@
 import kotlin.random.Random
 
 /** Three controllers with everything around them, in virtual time, drawn from one seed. Rules are checked after each step. */
-class World(val seed: Long, private val quietNetwork: Boolean = false) {
+class World(val seed: Long, private val quietNetwork: Boolean = false, perOffer: Int = 4) {
     val random = Random(seed)
     val time = VirtualTime()
     val zones = listOf(Zone("a"), Zone("b"))
@@ -44,7 +44,7 @@
     ).associateBy { it.id }
     private val types = listOf(
         MachineType(TypeId("s"), 4.0, 0.0, 16.0, 20.0, 1.0, 0.3, 0.1, 4.0, zones),
-        MachineType(TypeId("l"), 16.0, 0.0, 64.0, 40.0, 0.5, 1.2, 0.4, 5.0, zones),
+        MachineType(TypeId("l"), 16.0, 0.0, 64.0, 40.0, 0.5, 1.2, 0.38, 5.0, zones),
     )
     val rules = Rules(teams, CANCEL_MS)
     val jobs = LinkedHashMap<JobId, JobSpec>()
@@ -52,7 +52,7 @@
     private val cancelled = LinkedHashSet<JobId>()
     val poisoned = HashSet<JobId>()
     val store = StandInStore(time)
-    val cloud = StandInCloud(time, random, types, perOffer = 4) { id, request ->
+    val cloud = StandInCloud(time, random, types, perOffer) { id, request ->
         StandInWorker(
             id, types.first { it.id == request.type }, request.zone, request.spot, time, rules, LEASE_MS, jobs::get,
             poisoned::contains,
@@ -61,6 +61,7 @@
 
     inner class Seat(val number: Int) {
         val name = NodeId("node-$number")
+        val zone = zones[number % 2]
         var trouble = Trouble(time)
         var controller: Controller? = null
         var downUntil = 0L
@@ -69,16 +70,19 @@
 
         fun start() {
             trouble.lossRate = if (quietNetwork) 0.0 else 0.01
+            trouble.repeats = !quietNetwork
+            val started = trouble
+            started.standStill = { ms -> standStill(started, ms) }
             val drift = if (number == 0) 0.0005 else 0.0
             controller = Controller(
                 settings(), Policy(), FleetPolicy(idleReturnMs = 8000), store.View(random, trouble), cloud.View(trouble),
-                WorkerLine(trouble), PeerLine(trouble), time.clock(drift, random.nextLong(-20, 20)), "$seed-$number-${starts++}",
+                WorkerLine(trouble), PeerLine(trouble, zone), time.clock(drift, random.nextLong(-20, 20)), "$seed-$number-${starts++}",
             )
             due = LongArray(8)
         }
 
         private fun settings() = Settings(
-            name, zones[number % 2], local(1), local(2),
+            name, zone, local(1), local(2),
             (0..2).filter { it != number }.map { Member(NodeId("node-$it"), zones[it % 2], local(2)) },
             local(3), local(4), teams, 20.0, REPORT_MS / 1000.0, LEASE_MS / 1000.0, CANCEL_MS / 1000.0, 80.0, 30.0, 2.0, 8, 5.0, 3.0, 100,
         )
@@ -94,7 +98,7 @@
             if (trouble.stalled()) return
             val steps = listOf<Pair<Long, () -> Unit>>(
                 1000L to running::lead, 100L to { running.load() }, 2000L to running::greet, 300L to running::pass, 100L to { running.write() },
-                150L to { running.follow(0) }, 1000L to running::manageFleet, 100L to { while (running.post(0)) Unit },
+                150L to { running.follow(0) }, 1000L to running::manageFleet, 100L to { while (running.post(0) || running.call()) Unit },
             )
             for (i in steps.indices.shuffled(random)) {
                 if (time.now < due[i]) continue
@@ -104,12 +108,23 @@
         }
 
         /** Runs part of this node; false where the process died in it. */
-        fun guarded(act: () -> Unit): Boolean = try {
-            act()
-            true
-        } catch (e: NodeDied) {
-            crash(if (random.nextInt(3) == 0) 200L else 4000L)
-            false
+        fun guarded(act: () -> Unit): Boolean {
+            val running = trouble
+            return try {
+                act()
+                true
+            } catch (e: NodeDied) {
+                // One that died while it stood still has been replaced by now.
+                if (trouble === running) crash(if (random.nextInt(3) == 0) 200L else 4000L)
+                false
+            }
+        }
+
+        /** Everybody else goes on, while this process is in the middle of what it does; its clocks run on too. */
+        private fun standStill(process: Trouble, ms: Long) {
+            process.stalledUntil = time.now + ms
+            this@World.run(ms, busy = false)
+            if (trouble !== process) throw NodeDied()
         }
 
         fun crash(downMs: Long) {
@@ -121,23 +136,50 @@
 
     val seats = List(3) { Seat(it) }
 
+    /** Commands sent to workers so far, and how many of them to workers that nobody reaches. */
+    var ordersSent = 0
+        private set
+    var ordersInVain = 0
+        private set
+
+    /** Cuts [zone] off from all else; it goes on inside. */
+    fun cutOff(zone: Zone, ms: Long) {
+        cutZone = zone
+        cutZoneUntil = time.now + ms
+        seats.filter { it.zone == zone }.forEach { it.trouble.storeCutUntil = maxOf(it.trouble.storeCutUntil, cutZoneUntil) }
+    }
+
+    private var cutZone: Zone? = null
+    private var cutZoneUntil = 0L
+
+    private fun apart(one: Zone, other: Zone) = time.now < cutZoneUntil && (one == cutZone) != (other == cutZone)
+
+    private fun unreachable(worker: StandInWorker, trouble: Trouble) = worker.cut || trouble.cutFromWorkers() ||
+        seats.any { it.trouble === trouble && apart(it.zone, worker.zone) }
+
     private inner class WorkerLine(private val trouble: Trouble) : Workers {
         override fun order(address: String, message: OrdersMessage): OrdersOutcome {
+            trouble.mayStrike(random)
+            ordersSent++
             val worker = cloud.workers.firstOrNull { it.address == address && it.alive } ?: return OrdersOutcome.Unknown
             fun execute(): OrdersOutcome =
                 if (worker.ordered(message.term, message.session, message.orders)) OrdersOutcome.Executed(worker.report())
                 else OrdersOutcome.Rejected(worker.report())
-            val lost = worker.cut || worker.deaf || worker.hanging || trouble.cutFromWorkers() || trouble.sendsNothing() || random.nextDouble() < trouble.lossRate
-            if (!lost) return execute()
+            val lost = unreachable(worker, trouble) || worker.deaf || worker.hanging || trouble.sendsNothing() || random.nextDouble() < trouble.lossRate
+            if (!lost) {
+                trouble.mayRepeat(random) { if (worker.alive) execute() }
+                return execute().also { trouble.mayStrike(random) }
+            }
+            ordersInVain++
             if (random.nextInt(4) == 0) return OrdersOutcome.NotSent
             if (random.nextBoolean()) time.later(random.nextLong(100, 60_000)) { if (worker.alive) execute() }
             return OrdersOutcome.Unknown
         }
     }
 
-    private inner class PeerLine(private val trouble: Trouble) : Peers {
+    private inner class PeerLine(private val trouble: Trouble, private val zone: Zone) : Peers {
         private fun reach(to: Member) = seats.first { it.name == to.node }
-            .takeIf { !trouble.stalled() && !it.trouble.stalled() && !trouble.cutFromPeers() && !it.trouble.cutFromPeers() }?.controller
+            .takeIf { !apart(it.zone, zone) && !trouble.stalled() && !it.trouble.stalled() && !trouble.cutFromPeers() && !it.trouble.cutFromPeers() }?.controller
 
         override fun hello(to: Member, hello: PeerHello): PeerHello? = reach(to)?.hello(hello)
         override fun relay(to: Member, request: RelayRequest): RelayAnswer? {
@@ -182,7 +224,7 @@
         }
         val seat = seats[worker.target]
         val controller = seat.controller
-        if (controller == null || seat.trouble.stalled() || worker.cut || seat.trouble.cutFromWorkers() || random.nextDouble() < seat.trouble.lossRate) {
+        if (controller == null || seat.trouble.stalled() || unreachable(worker, seat.trouble) || random.nextDouble() < seat.trouble.lossRate) {
             // A cut may hold a report and deliver it long after its worker has given up on it.
             if (random.nextInt(3) == 0) {
                 time.later(random.nextLong(500, 40_000)) { seats[worker.target].controller?.let { late -> seat.guarded { late.beat(report) } } }
@@ -207,17 +249,24 @@
         }
     }
 
-    private fun <T> ask(act: (Seat, Controller) -> T): T? {
+    /** Jobs whose users wait for an answer: none asks twice at a time. */
+    private val asking = HashSet<JobId>()
+
+    /** What a user is told who waits up to [waitsMs]; a node that stands still answers nobody in time. */
+    private fun <T> ask(id: JobId, waitsMs: Long, act: (Controller) -> T): T? {
         val seat = seats.filter { it.controller != null && !it.trouble.stalled() }.randomOrNull(random) ?: return null
+        if (!asking.add(id)) return null
+        val askedAt = time.now
         var result: T? = null
-        seat.guarded { result = act(seat, checkNotNull(seat.controller)) }
-        return result
+        seat.guarded { result = act(checkNotNull(seat.controller)) }
+        asking -= id
+        return result.takeIf { time.now - askedAt <= waitsMs }
     }
 
     fun submit(spec: JobSpec): Int? {
         jobs[spec.id] = spec
         rules.submitting(spec, time.now)
-        val answer = ask { _, controller -> controller.users.submit(WireJson.encodeToString(spec), relayed = false) } ?: return null
+        val answer = ask(spec.id, SUBMIT_WAITS_MS) { it.users.submit(WireJson.encodeToString(spec), relayed = false) } ?: return null
         rules.submissionAnswered(spec.id, answer.status)
         if (answer.status in 200..201) accepted += spec.id
         answer.state()?.let { rules.statusAnswered(spec.id, answer.status, it, time.now) }
@@ -226,14 +275,14 @@
 
     fun cancel(id: JobId): Int? {
         rules.cancelling(id)
-        val answer = ask { _, controller -> controller.users.cancel(id.text, relayed = false) } ?: return null
+        val answer = ask(id, SUBMIT_WAITS_MS) { it.users.cancel(id.text, relayed = false) } ?: return null
         rules.statusAnswered(id, answer.status, answer.state(), time.now)
         if (answer.status == 200) cancelled += id
         return answer.status
     }
 
     fun poll(id: JobId): JobStatus? {
-        val answer = ask { _, controller -> controller.users.status(id.text, relayed = false) }
+        val answer = ask(id, POLL_WAITS_MS) { it.users.status(id.text, relayed = false) }
         rules.asked(id, answer?.status == 200, time.now)
         if (answer == null) return null
         rules.statusAnswered(id, answer.status, answer.state(), time.now)
@@ -280,7 +329,7 @@
         val seat = seats.random(random)
         val ms = random.nextLong(1000, 30_000)
         val worker = cloud.workers.filter { it.alive }.randomOrNull(random)
-        when (random.nextInt(21)) {
+        when (random.nextInt(26)) {
             0 -> seat.crash(if (random.nextBoolean()) 100L else 4000L)
             1 -> seat.trouble.dieAtNextCall = true
             2 -> seats.forEach { it.crash(random.nextLong(50, 4000)) }
@@ -313,13 +362,26 @@
             }
             18 -> worker?.reboot()
             19 -> seat.trouble.sendsNothingUntil = time.now + ms
+            20, 21 -> {
+                // It stands still for up to well over a lease, in the middle of what it does, and then goes on.
+                seats.shuffled(random).take(random.nextInt(1, 3)).forEach { it.trouble.pauseAtNextCallMs = random.nextLong(500, 3 * LEASE_MS) }
+            }
+            22 -> aShareOfTheFleet { it.hangUntil = time.now + ms / 2 }
+            23 -> aShareOfTheFleet { it.cutUntil = time.now + ms }
+            24 -> aShareOfTheFleet { if (random.nextBoolean()) cloud.take(it.id) else it.reboot() }
+            25 -> cutOff(zones.random(random), ms)
             else -> worker?.sick = true
         }
     }
 
+    private fun aShareOfTheFleet(fails: (StandInWorker) -> Unit) =
+        cloud.workers.filter { it.alive && random.nextInt(3) == 0 }.forEach(fails)
+
     companion object {
         const val LEASE_MS = 6000L
         const val REPORT_MS = 1000L
         const val CANCEL_MS = 24_000L
+        private const val SUBMIT_WAITS_MS = 5000L
+        private const val POLL_WAITS_MS = 2000L
     }
 }
