Teams borrow up to three times their guarantee; small machines are rented where hardly dearer

And wardenlist took the few large spot machines, a tenth cheaper per task, that meterreconcile needs.

--- a/src/main/kotlin/mountmast/coordination/Fleet.kt
+++ b/src/main/kotlin/mountmast/coordination/Fleet.kt
@@ -280,8 +280,8 @@
     }
 
     private fun bestOffer(job: Job, wanted: Int, now: Moment): Pair<Offer, MachineType>? {
-        var best: Pair<Offer, MachineType>? = null
-        var bestCost = Double.MAX_VALUE
+        class Priced(val offer: Offer, val type: MachineType, val perSlot: Double)
+        val priced = ArrayList<Priced>()
         for (type in ledger.types.values) {
             val slots = job.perTask.timesIn(type.capacity, wanted)
             if (slots == 0) continue
@@ -289,14 +289,14 @@
                 val offer = Offer(type.id, zone, spot)
                 if (!allows(job, offer) || pauses(offer, now)) continue
                 val price = (if (spot) type.spotPrice else type.price) * (1 + (losses[offer] ?: 0.0) * LOSS_WEIGHT)
-                val cost = price / slots
-                if (cost < bestCost) {
-                    bestCost = cost
-                    best = offer to type
-                }
+                priced += Priced(offer, type, price / slots)
             }
         }
-        return best
+        val cheapest = priced.minOfOrNull { it.perSlot } ?: return null
+        // Small machines fall idle sooner and leave the large ones, of which there are few, to tasks that need them.
+        val chosen = priced.filter { it.perSlot <= cheapest * NEARLY_CHEAPEST }
+            .minWith(compareBy({ it.type.cpus }, { it.perSlot }))
+        return chosen.offer to chosen.type
     }
 
     private companion object {
@@ -315,6 +315,9 @@
         const val TOMBSTONE_MS = 600_000L
         const val LOSS_DECAY = 0.99
         const val LOSS_WEIGHT = 0.1
+
+        /** Up to this many times the lowest price per task, the smallest machine is chosen. */
+        const val NEARLY_CHEAPEST = 1.2
         const val MOST_WISHES = 200
 
         /** Beyond the time in which any worker reports, for a node that is still slow. */
--- a/src/main/kotlin/mountmast/coordination/Scheduler.kt
+++ b/src/main/kotlin/mountmast/coordination/Scheduler.kt
@@ -19,7 +19,7 @@
     /** λ: weight of the newest degree of assurance. */
     val smoothing: Double = 0.3,
     /** η: borrowed work of a team goes up to this many times its guarantee. */
-    val borrowing: Double = 2.0,
+    val borrowing: Double = 3.0,
     /** α: weight of past stops in the cost of another. */
     val overheadWeight: Double = 0.5,
     /** β: weight of the number of victims. */
--- a/src/test/kotlin/mountmast/coordination/RecoveryTest.kt
+++ b/src/test/kotlin/mountmast/coordination/RecoveryTest.kt
@@ -406,4 +406,12 @@
         world.run(2000, busy = false)
         assertTrue(!worker.busy, "a cancelled task runs")
     }
+
+    @Test
+    fun `small machines are rented where they cost no more`() {
+        val world = World(49, quietNetwork = true)
+        world.accept(world.plain(1) { it.copy(tasks = 16, cpus = 1.0, memoryGb = 2.0) })
+        world.run(15_000, busy = false)
+        assertEquals(setOf(TypeId("s")), world.cloud.workers.map { it.type.id }.toSet())
+    }
 }
