--- a/src/main/kotlin/mountmast/coordination/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/Controller.kt
@@ -173,10 +173,10 @@
     }
 
     /** Sends commands to one worker; false where there were none to send. */
-    fun post(waitMs: Long): Boolean = reign()?.postNext(waitMs) ?: false
+    fun post(waitMs: Long): Boolean = reign()?.dispatch?.postNext(waitMs) ?: false
 
     /** Calls one worker that may still be with a former leader; false where there was none to call. */
-    fun call(): Boolean = reign()?.callNext() ?: false
+    fun call(): Boolean = reign()?.dispatch?.callNext() ?: false
 
     override fun beat(report: WorkerReport): BeatOutcome {
         leadership.heard(report.term)
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/Dispatch.kt
@@ -0,0 +1,166 @@
+package mountmast.coordination
+
+import mountmast.protocol.Clock
+import mountmast.protocol.MachineId
+import mountmast.protocol.Moment
+import mountmast.protocol.Order
+import mountmast.protocol.OrdersMessage
+import mountmast.protocol.Session
+import mountmast.protocol.Tally
+import mountmast.protocol.Verb
+import mountmast.protocol.WorkerReport
+import mountmast.transport.OrdersOutcome
+import mountmast.transport.Workers
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.Condition
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+/** What workers are told to do, in answers to their reports and by direct commands. Guarded by the [Reign]'s lock. */
+class Dispatch(
+    private val lock: ReentrantLock,
+    private val ledger: Ledger,
+    private val mandate: Mandate,
+    private val workers: Workers,
+    private val timing: Timing,
+    private val clock: Clock,
+    /** Takes the report with which a worker answers a command; called with the lock held. */
+    private val onReport: (WorkerReport, Moment) -> Unit,
+) {
+    private val postQueue = LinkedHashSet<MachineId>()
+    private val postable: Condition = lock.newCondition()
+
+    /** Workers to be called away from a former leader: apart from the commands, which must not wait for silent hosts. */
+    private val callQueue = LinkedHashSet<MachineId>()
+
+    /** Every command that the worker has not shown to have executed; [inBeat] names the report they answer. */
+    fun outstanding(machine: Machine, inBeat: Tally?): List<Order> {
+        val orders = ArrayList<Order>()
+        for (assignment in machine.live.values) {
+            if (assignment.phase != Phase.COMMITTED || assignment.session != machine.session) continue
+            val grace = assignment.stopGraceS
+            // A start that may arrive at any time is made to arrive first, so that the stop ends it for good.
+            val start = assignment.reported == null && (grace == null || assignment.key in machine.mayStillStart)
+            if (start) {
+                orders += Order(Verb.START, assignment.taskName, assignment.attempt)
+                if (inBeat != null) assignment.startedInBeat = inBeat
+            }
+            if (grace != null) orders += Order(Verb.STOP, assignment.taskName, assignment.attempt, grace)
+        }
+        if (inBeat != null) {
+            for (stranger in machine.strangers) {
+                if (!stranger.exited) {
+                    orders += Order(Verb.STOP, stranger.taskName, stranger.attempt, 0.0)
+                } else if (mayForget(stranger, machine)) {
+                    orders += Order(Verb.FORGET, stranger.taskName, stranger.attempt)
+                }
+            }
+        }
+        return orders
+    }
+
+    /**
+     * A start that comes once more, even one that was carried out and answered, runs an attempt again that the worker has
+     * forgotten: beside the next attempt, or long after its job was cancelled. What completed would only complete again.
+     */
+    private fun mayForget(stranger: Stranger, machine: Machine) =
+        (stranger.completed || machine.strangers.size > MOST_KEPT) && stranger.taskName to stranger.attempt !in machine.mayStillStart
+
+    /** Has the commands for a machine sent soon; the caller holds the lock. */
+    fun queue(id: MachineId) {
+        postQueue += id
+        postable.signal()
+    }
+
+    /** Waits for a machine with commands to send, sends them and reads the answer. */
+    fun postNext(waitMs: Long): Boolean {
+        val command = lock.withLock {
+            if (postQueue.isEmpty() && waitMs > 0) postable.await(waitMs, TimeUnit.MILLISECONDS)
+            val now = clock.now()
+            val id = postQueue.firstOrNull { id ->
+                ledger.machines[id].let { it == null || (!it.postInFlight && now >= it.postNotBefore) }
+            } ?: return false
+            postQueue -= id
+            val machine = ledger.machines[id] ?: return true
+            if (machine.state != MachineState.UP || machine.session == null || machine.deleting) return true
+            // A host behind a cut holds a poster until its deadline, and with a fifth of the fleet cut the commands to all
+            // the others waited. Whoever is silent gets them in the answer to its next report.
+            if (now - machine.heardAt > timing.quietMs) return true
+            val orders = outstanding(machine, inBeat = null)
+            if (orders.isEmpty()) return true
+            forStarts(machine, orders) { it.postsOut++ }
+            machine.postInFlight = true
+            Command(machine, checkNotNull(machine.session), orders)
+        }
+        send(command)
+        return true
+    }
+
+    /** Calls one worker that may still be with a former leader; false where none is to be called now. */
+    fun callNext(): Boolean {
+        val command = lock.withLock {
+            val id = callQueue.firstOrNull() ?: return false
+            callQueue -= id
+            val known = ledger.machines[id] ?: return true
+            if (known.postInFlight || !needsCall(known, clock.now())) return true
+            known.postInFlight = true
+            known.calledAt = clock.now()
+            Command(known, known.session ?: known.live.values.firstOrNull()?.session ?: Session(1u), emptyList())
+        }
+        send(command)
+        return true
+    }
+
+    /** Orders of one session: sent in any other, a start would run in a session that its assignment is not for. */
+    private class Command(val machine: Machine, val session: Session, val orders: List<Order>)
+
+    private fun send(command: Command) {
+        val message = OrdersMessage(mandate.term, command.session, command.orders)
+        val outcome = workers.order(checkNotNull(command.machine.address), message)
+        lock.withLock { posted(command.machine, command.orders, outcome) }
+    }
+
+    /**
+     * A worker that still reports to the leader before, which may be cut off from everybody else, learns of us only
+     * from a command: our token in it, even without any order, makes it look for the new leader.
+     */
+    private fun needsCall(machine: Machine, now: Moment) =
+        machine.address != null && !machine.deleting && !machine.sawTerm && machine.state != MachineState.EXPIRED &&
+            machine.state != MachineState.BOOTING && now - machine.calledAt > CALL_AFTER_MS
+
+    /** Has those workers called that have not shown our token although this node has led since [readyAt]. */
+    fun callWorkers(readyAt: Moment, now: Moment) {
+        if (now - readyAt !in CALL_AFTER_MS..timing.formerLeaderMs + timing.leaseOverMs) return
+        for (machine in ledger.machines.values) if (needsCall(machine, now)) callQueue += machine.id
+    }
+
+    private fun posted(machine: Machine, orders: List<Order>, outcome: OrdersOutcome) {
+        val now = clock.now()
+        machine.postInFlight = false
+        forStarts(machine, orders) { it.postsOut-- }
+        when (outcome) {
+            is OrdersOutcome.Executed -> onReport(outcome.report, now)
+            is OrdersOutcome.Rejected -> onReport(outcome.report, now)
+            OrdersOutcome.NotSent -> machine.postNotBefore = now + POST_PAUSE_MS
+            OrdersOutcome.Unknown -> {
+                machine.postNotBefore = now + POST_PAUSE_MS
+                for (order in orders) if (order.verb == Verb.START) machine.mayStillStart += order.task to order.attempt
+            }
+        }
+    }
+
+    private inline fun forStarts(machine: Machine, orders: List<Order>, act: (Assignment) -> Unit) {
+        for (order in orders) {
+            if (order.verb != Verb.START) continue
+            machine.live[order.task]?.takeIf { it.attempt == order.attempt }?.let(act)
+        }
+    }
+
+    private companion object {
+        const val POST_PAUSE_MS = 2000L
+        const val CALL_AFTER_MS = 3000L
+
+        /** Attempts that a worker need not forget within a session; reports must not grow without end. */
+        const val MOST_KEPT = 64
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/Health.kt
@@ -0,0 +1,92 @@
+package mountmast.coordination
+
+import mountmast.protocol.MachineId
+import mountmast.protocol.Moment
+import org.slf4j.LoggerFactory
+
+private val log = LoggerFactory.getLogger("mountmast.health")
+
+/** Tells sick and slow machines from jobs that fail or run long wherever they are. Guarded as its [Ledger] is. */
+class Health(private val ledger: Ledger) {
+    /** A task of [job] failed on [machine]. */
+    fun failed(machine: Machine, job: Job, now: Moment) {
+        // One failure may be chance; but a sick machine, always empty, would draw task after task.
+        machine.notBefore = now + FAILED_PAUSE_MS
+        job.failedOn += machine.id
+        job.failures++
+        if (job.poisoned) {
+            val doublings = minOf(job.failures - Job.POISON_MACHINES, MOST_DOUBLINGS)
+            job.notBefore = now + (POISON_PAUSE_MS shl maxOf(0, doublings))
+            log.info("job {} failed on {} machines; next try in {} ms", job.id, job.failedOn.size, job.notBefore - now)
+        } else if (job.doneCount > 0 || job.id !in machine.strikes) {
+            // A machine is not blamed for a job that may fail everywhere: such a one counts once.
+            machine.strikes += job.id
+        }
+        if (machine.strikes.size >= SICK_STRIKES && !machine.quarantined) {
+            machine.quarantined = true
+            log.info("machine {} quarantined: {} tasks failed in a row", machine.id, machine.strikes.size)
+            absolve(machine)
+        }
+    }
+
+    /** What failed on a sick machine failed in bad company: its jobs are not held to fail everywhere. */
+    private fun absolve(machine: Machine) {
+        for (job in ledger.jobs.values) {
+            if (!job.failedOn.remove(machine.id) || job.poisoned) continue
+            job.failures = job.failedOn.size
+            job.notBefore = Moment(Long.MIN_VALUE)
+        }
+    }
+
+    /** A task completed on [machine] after [runS]. */
+    fun completedIn(machine: Machine, assignment: Assignment, runS: Double) {
+        val job = assignment.job
+        if (isSlow(job, machine.id, runS)) slowTask(machine, assignment) else if (!assignment.calledSlow) machine.slowStrikes = 0
+        // A slow machine's run says nothing of what the job takes elsewhere.
+        if (!assignment.calledSlow) {
+            job.runs++
+            job.runSumS += runS
+        }
+    }
+
+    /**
+     * Whether a run is far beyond what the job's tasks take elsewhere. The owner's estimate counts too, as a task that
+     * was seen running late seems short; and a job that finds every machine slow is simply long.
+     */
+    private fun isSlow(job: Job, machine: MachineId, runS: Double): Boolean {
+        if (job.runs < RUNS_TO_COMPARE) return false
+        if (machine !in job.slowOn && job.slowOn.size >= MOST_CALLED_SLOW) return false
+        return runS > maxOf(job.runSumS / job.runs, job.spec.estimateS) * SLOW_TIMES + SLOW_EXTRA_S
+    }
+
+    private fun slowTask(machine: Machine, assignment: Assignment) {
+        if (assignment.calledSlow) return
+        assignment.calledSlow = true
+        assignment.job.slowOn += machine.id
+        if (++machine.slowStrikes < SICK_STRIKES || machine.quarantined) return
+        machine.quarantined = true
+        log.info("machine {} quarantined: {} tasks in a row ran {} times as long as elsewhere", machine.id, machine.slowStrikes, SLOW_TIMES)
+    }
+
+    /** Notices machines whose tasks run on and on while others of the same jobs have long completed elsewhere. */
+    fun noticeSlow(now: Moment) {
+        for (machine in ledger.machines.values) {
+            if (machine.state != MachineState.UP) continue
+            for (assignment in machine.live.values) {
+                val since = assignment.runningSince ?: continue
+                if (assignment.phase == Phase.COMMITTED && isSlow(assignment.job, machine.id, (now - since) / 1000.0)) slowTask(machine, assignment)
+            }
+        }
+    }
+
+    private companion object {
+        const val FAILED_PAUSE_MS = 2000L
+        const val POISON_PAUSE_MS = 5000L
+        const val MOST_DOUBLINGS = 4
+        const val SICK_STRIKES = 2
+        const val RUNS_TO_COMPARE = 2
+        const val SLOW_TIMES = 2.5
+        const val MOST_CALLED_SLOW = 2
+        const val SLOW_EXTRA_S = 5.0
+    }
+}
--- a/src/main/kotlin/mountmast/coordination/LedgerWriter.kt
+++ b/src/main/kotlin/mountmast/coordination/LedgerWriter.kt
@@ -311,7 +311,7 @@
         assignment.written = true
         if (assignment.phase != Phase.INTENDED) return
         assignment.phase = Phase.COMMITTED
-        reign.queuePost(assignment.machine)
+        reign.dispatch.queue(assignment.machine)
     }
 
     /** Deleted machines whose assignments are released now are forgotten. */
--- a/src/main/kotlin/mountmast/coordination/Reign.kt
+++ b/src/main/kotlin/mountmast/coordination/Reign.kt
@@ -8,16 +8,11 @@
 import mountmast.protocol.MachineId
 import mountmast.protocol.MachineTypes
 import mountmast.protocol.Moment
-import mountmast.protocol.Order
-import mountmast.protocol.OrdersMessage
 import mountmast.protocol.Revision
-import mountmast.protocol.Session
 import mountmast.protocol.Stamp
-import mountmast.protocol.Tally
 import mountmast.protocol.TaskId
 import mountmast.protocol.TeamId
 import mountmast.protocol.TeamQuota
-import mountmast.protocol.Verb
 import mountmast.protocol.WireJson
 import mountmast.protocol.WorkerReport
 import mountmast.storage.Entry
@@ -30,7 +25,6 @@
 import mountmast.storage.SnapshotPart
 import mountmast.storage.SnapshotRecord
 import mountmast.storage.StateStore
-import mountmast.transport.OrdersOutcome
 import mountmast.transport.Workers
 import org.slf4j.LoggerFactory
 import java.util.concurrent.locks.Condition
@@ -43,7 +37,7 @@
 class Reign(
     val mandate: Mandate,
     private val store: StateStore,
-    private val workers: Workers,
+    workers: Workers,
     private val teams: Map<TeamId, TeamQuota>,
     private val policy: Policy,
     private val timing: Timing,
@@ -63,11 +57,9 @@
     private var assurance: Map<TeamId, Double> = emptyMap()
     private var followFrom = Revision(0u)
     private var placeSoon = false
-    private val postQueue = LinkedHashSet<MachineId>()
-    private val postable: Condition = lock.newCondition()
 
-    /** Workers to be called away from a former leader: apart from the commands, which must not wait for silent hosts. */
-    private val callQueue = LinkedHashSet<MachineId>()
+    /** Commands to the workers. */
+    val dispatch = Dispatch(lock, ledger, mandate, workers, timing, clock) { report, now -> takeReport(report, now, isBeat = false) }
 
     /** Machine types that the store does not hold yet. */
     var pendingTypes: MachineTypes? = null
@@ -181,7 +173,7 @@
         if (record.spec.id in recentlyOver) return
         val job = ledger.putJob(record, stamp, clock.now())
         if (job.cancelled) {
-            job.live.values.forEach { queuePost(it.machine) }
+            job.live.values.forEach { dispatch.queue(it.machine) }
             writable.signalAll()
         } else {
             wakePlacement()
@@ -209,7 +201,7 @@
         noteHearing(machine, report, now)
         machine.answeredAt = now
         machine.answeredTally = report.tally
-        BeatAnswer(mandate.term, outstanding(machine, inBeat = report.tally))
+        BeatAnswer(mandate.term, dispatch.outstanding(machine, inBeat = report.tally))
     }
 
     private fun takeReport(report: WorkerReport, now: Moment, isBeat: Boolean): Boolean {
@@ -276,128 +268,6 @@
         }
     }
 
-    /** Every command that the worker has not shown to have executed; [inBeat] names the report they answer. */
-    private fun outstanding(machine: Machine, inBeat: Tally?): List<Order> {
-        val orders = ArrayList<Order>()
-        for (assignment in machine.live.values) {
-            if (assignment.phase != Phase.COMMITTED || assignment.session != machine.session) continue
-            val grace = assignment.stopGraceS
-            // A start that may arrive at any time is made to arrive first, so that the stop ends it for good.
-            val start = assignment.reported == null && (grace == null || assignment.key in machine.mayStillStart)
-            if (start) {
-                orders += Order(Verb.START, assignment.taskName, assignment.attempt)
-                if (inBeat != null) assignment.startedInBeat = inBeat
-            }
-            if (grace != null) orders += Order(Verb.STOP, assignment.taskName, assignment.attempt, grace)
-        }
-        if (inBeat != null) {
-            for (stranger in machine.strangers) {
-                if (!stranger.exited) {
-                    orders += Order(Verb.STOP, stranger.taskName, stranger.attempt, 0.0)
-                } else if (mayForget(stranger, machine)) {
-                    orders += Order(Verb.FORGET, stranger.taskName, stranger.attempt)
-                }
-            }
-        }
-        return orders
-    }
-
-    /**
-     * A start that comes once more, even one that was carried out and answered, runs an attempt again that the worker has
-     * forgotten: beside the next attempt, or long after its job was cancelled. What completed would only complete again.
-     */
-    private fun mayForget(stranger: Stranger, machine: Machine) =
-        (stranger.completed || machine.strangers.size > MOST_KEPT) && stranger.taskName to stranger.attempt !in machine.mayStillStart
-
-    /** Has the commands for a machine sent soon; the caller holds the lock. */
-    fun queuePost(id: MachineId) {
-        postQueue += id
-        postable.signal()
-    }
-
-    /** Waits for a machine with commands to send, sends them and reads the answer. */
-    fun postNext(waitMs: Long): Boolean {
-        val command = lock.withLock {
-            if (postQueue.isEmpty() && waitMs > 0) postable.await(waitMs, java.util.concurrent.TimeUnit.MILLISECONDS)
-            val now = clock.now()
-            val id = postQueue.firstOrNull { id ->
-                ledger.machines[id].let { it == null || (!it.postInFlight && now >= it.postNotBefore) }
-            } ?: return false
-            postQueue -= id
-            val machine = ledger.machines[id] ?: return true
-            if (machine.state != MachineState.UP || machine.session == null || machine.deleting) return true
-            // A host behind a cut holds a poster until its deadline, and with a fifth of the fleet cut the commands to all
-            // the others waited. Whoever is silent gets them in the answer to its next report.
-            if (now - machine.heardAt > timing.quietMs) return true
-            val orders = outstanding(machine, inBeat = null)
-            if (orders.isEmpty()) return true
-            forStarts(machine, orders) { it.postsOut++ }
-            machine.postInFlight = true
-            Command(machine, checkNotNull(machine.session), orders)
-        }
-        send(command)
-        return true
-    }
-
-    /** Calls one worker that may still be with a former leader; false where none is to be called now. */
-    fun callNext(): Boolean {
-        val command = lock.withLock {
-            val id = callQueue.firstOrNull() ?: return false
-            callQueue -= id
-            val known = ledger.machines[id] ?: return true
-            if (known.postInFlight || !needsPull(known, clock.now())) return true
-            known.postInFlight = true
-            known.pulledAt = clock.now()
-            Command(known, known.session ?: known.live.values.firstOrNull()?.session ?: Session(1u), emptyList())
-        }
-        send(command)
-        return true
-    }
-
-    /** Orders of one session: sent in any other, a start would run in a session that its assignment is not for. */
-    private class Command(val machine: Machine, val session: Session, val orders: List<Order>)
-
-    private fun send(command: Command) {
-        val message = OrdersMessage(mandate.term, command.session, command.orders)
-        val outcome = workers.order(checkNotNull(command.machine.address), message)
-        lock.withLock { posted(command.machine, command.orders, outcome) }
-    }
-
-    /**
-     * A worker that still reports to the leader before, which may be cut off from everybody else, learns of us only
-     * from a command: our token in it, even without any order, makes it look for the new leader.
-     */
-    private fun needsPull(machine: Machine, now: Moment) =
-        machine.address != null && !machine.deleting && !machine.sawTerm && machine.state != MachineState.EXPIRED &&
-            machine.state != MachineState.BOOTING && now - readyAt > PULL_AFTER_MS && now - machine.pulledAt > PULL_AFTER_MS
-
-    private fun pullWorkers(now: Moment) {
-        if (now - readyAt > timing.formerLeaderMs + timing.leaseOverMs) return
-        for (machine in ledger.machines.values) if (needsPull(machine, now)) callQueue += machine.id
-    }
-
-    private fun posted(machine: Machine, orders: List<Order>, outcome: OrdersOutcome) {
-        val now = clock.now()
-        machine.postInFlight = false
-        forStarts(machine, orders) { it.postsOut-- }
-        when (outcome) {
-            is OrdersOutcome.Executed -> takeReport(outcome.report, now, isBeat = false)
-            is OrdersOutcome.Rejected -> takeReport(outcome.report, now, isBeat = false)
-            OrdersOutcome.NotSent -> machine.postNotBefore = now + POST_PAUSE_MS
-            OrdersOutcome.Unknown -> {
-                machine.postNotBefore = now + POST_PAUSE_MS
-                for (order in orders) if (order.verb == Verb.START) machine.mayStillStart += order.task to order.attempt
-            }
-        }
-    }
-
-    private inline fun forStarts(machine: Machine, orders: List<Order>, act: (Assignment) -> Unit) {
-        for (order in orders) {
-            if (order.verb != Verb.START) continue
-            machine.live[order.task]?.takeIf { it.attempt == order.attempt }?.let(act)
-        }
-    }
-
     /**
      * Calls dead the workers whose lease has provably run out. A leader that was cut off knows nothing of what its
      * successor answered: silence counts only as far as it is certain that nobody else led, [ledUntil].
@@ -472,9 +342,9 @@
     private fun tidy(now: Moment) {
         tidiedAt = now
         emptyNoticed(now)
-        ledger.noticeSlow(now)
+        ledger.health.noticeSlow(now)
         emptyQuarantined()
-        pullWorkers(now)
+        dispatch.callWorkers(readyAt, now)
         tellStalls(now)
         tellLate()
     }
@@ -498,7 +368,7 @@
         }
         // The pass's evictions go out in one state write, together with its starts.
         victims.chunked(VICTIMS_PER_ENTRY).forEach { ledger.unwritten += Unwritten.Reserved(machine.id, eviction.forJob, it) }
-        queuePost(machine.id)
+        dispatch.queue(machine.id)
     }
 
     /** Stops what would not complete before the cloud takes its machine, so that it saves and goes on elsewhere. */
@@ -518,7 +388,7 @@
         for (assignment in machine.live.values) {
             if (assignment.stopGraceS != null || assignment.phase != Phase.COMMITTED || !which(assignment)) continue
             assignment.stopGraceS = assignment.job.spec.saveS
-            queuePost(machine.id)
+            dispatch.queue(machine.id)
         }
     }
 
@@ -623,7 +493,6 @@
     }
 
     private companion object {
-        const val POST_PAUSE_MS = 2000L
         const val RESERVATION_MS = 30_000L
         const val LEAST_REMAINING = 0.1
         const val STALL_MS = 30_000L
@@ -632,10 +501,7 @@
         const val VICTIMS_PER_ENTRY = 16
         const val MOST_UNHEARD = 2
 
-        /** Attempts that a worker need not forget within a session; reports must not grow without end. */
-        const val MOST_KEPT = 64
         const val SETTLING_MS = 15_000L
-        const val PULL_AFTER_MS = 3000L
         const val LEAST_FOR_DEAF = 3
         const val NO_DEADLINE_S = 1e6
         const val REMEMBERED = 1000
