--- a/src/main/kotlin/mountmast/WarmUp.kt
+++ b/src/main/kotlin/mountmast/WarmUp.kt
@@ -6,6 +6,11 @@
 import mountmast.protocol.BeatAnswer
 import mountmast.protocol.JobValidation
 import mountmast.protocol.MachineId
+import mountmast.protocol.Member
+import mountmast.protocol.NodeId
+import mountmast.protocol.OrdersMessage
+import mountmast.protocol.PeerHello
+import mountmast.protocol.RelayRequest
 import mountmast.protocol.Order
 import mountmast.protocol.ReportedTask
 import mountmast.protocol.Session
@@ -19,7 +24,10 @@
 import mountmast.protocol.WorkerReport
 import mountmast.protocol.Zone
 import mountmast.transport.HttpCaller
+import mountmast.transport.HttpPeers
+import mountmast.transport.HttpWorkers
 import java.io.File
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.util.jar.JarFile
 
@@ -36,6 +44,7 @@
         CommandLineTool { _, _ -> }.run(arrayOf("--config", "/nonexistent"))
         loadOwnClasses()
         callSelf(public)
+        callPeer(peer)
         Thread.sleep(SERVE_MS)
     }
 
@@ -50,7 +59,7 @@
 
     private fun callSelf(port: Int) {
         val caller = HttpCaller()
-        val self = java.net.InetSocketAddress("127.0.0.1", port)
+        val self = InetSocketAddress("127.0.0.1", port)
         val report = WorkerReport(
             MachineId("vm-1"), "127.0.0.1:1", TypeId("t"), Zone("z"), false, Session(1u), Tally(1u), Term(0u), null,
             listOf(ReportedTask("j-1/0", Attempt(1u), TaskState.RUNNING)),
@@ -62,6 +71,19 @@
         for (path in listOf("/ready", "/v1/jobs/j-1")) caller.call(self, "GET", path, null, CALL_MS)
     }
 
+    /**
+     * What nodes say to each other. A class that is in no archive is read from its jar while the node already serves; the
+     * JVM aborted in such a read (9e267033), and it costs a cold node time.
+     */
+    private fun callPeer(port: Int) {
+        val at = InetSocketAddress("127.0.0.1", port)
+        val member = Member(NodeId("warm-1"), Zone("z"), at)
+        val peers = HttpPeers()
+        checkNotNull(peers.hello(member, PeerHello("warm-1", 0, serves = true, leads = false))) { "no greeting" }
+        peers.relay(member, RelayRequest("GET", "/v1/jobs/j-1", ""))
+        HttpWorkers().order("127.0.0.1:$port", OrdersMessage(Term(1u), Session(1u), listOf(Order(Verb.START, "j-1/0", Attempt(1u)))))
+    }
+
     private fun settings(public: Int, peer: Int) = """
         node = "warm-0"
         site = "z"
