--- a/src/main/kotlin/mountmast/coordination/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/Controller.kt
@@ -2,12 +2,18 @@
 
 import mountmast.protocol.BeatAnswer
 import mountmast.protocol.Clock
+import mountmast.protocol.JobId
 import mountmast.protocol.MachineId
+import mountmast.protocol.Member
 import mountmast.protocol.NodeId
+import mountmast.protocol.Order
 import mountmast.protocol.PeerHello
 import mountmast.protocol.RelayRequest
 import mountmast.protocol.Settings
+import mountmast.protocol.TaskId
+import mountmast.protocol.TaskState
 import mountmast.protocol.Term
+import mountmast.protocol.Verb
 import mountmast.protocol.WorkerReport
 import mountmast.storage.StateStore
 import mountmast.storage.StoreTrouble
@@ -43,7 +49,8 @@
 ) : BeatService, PeerService {
     private val timing = Timing.of(settings.leaseS, settings.cancelS, settings.clockOffMs, settings.reportS)
     private val leadership = Leadership(store, settings.node, run, timing, clock)
-    private val desk = JobDesk(store, settings.teams, clock, ::relay, ::ready)
+    private val notices = CancellationNotices(settings.members.map { it.node }, clock, timing.noticesMs)
+    private val desk = JobDesk(store, settings.teams, clock, ::relay, ::ready, ::tellCancelled)
 
     /** What users may ask of this node. */
     val users: UserService get() = desk
@@ -57,6 +64,7 @@
     @Volatile
     private var helpedIn = Term(0u)
     private var stepsSinceTypes = 0
+    private var uninformedSteps = 0
 
     @Volatile
     private var greeted = false
@@ -76,7 +84,7 @@
         leadership.step()
         val reign = office.get()?.reign
         // Cut off from the workers alone, in either direction, this node would renew for ever while their leases run out.
-        val why = reign?.unfit()
+        val why = reign?.unfit() ?: reign?.let(::whyUninformed)
         if (reign != null && why != null && freshHellos().any { it.serves }) leadership.resign(reign.mandate, why)
         syncOffice()
         weighUsers()
@@ -90,6 +98,13 @@
         }
     }
 
+    /** A leader that renews but learns of no cancellation may soon answer no worker any more; an outage is no such case. */
+    private fun whyUninformed(reign: Reign): String? {
+        val renews = leadership.confirmedUntil(reign.mandate)?.let { clock.now() - it < CONFIRMED_MS } == true
+        uninformedSteps = if (renews && (reign.uninformedMs() ?: 0) > timing.ttlMs) uninformedSteps + 1 else 0
+        return if (uninformedSteps > MOST_UNINFORMED_STEPS) "the jobs cannot be followed" else null
+    }
+
     /** Notes that a sleep was [ms] too long: this process falls behind its share of the processor. */
     fun noteLag(ms: Long) {
         lagMs += (ms - lagMs) * LAG_WEIGHT
@@ -123,7 +138,7 @@
         }
         if (current?.reign?.mandate === mandate) return
         store.shareAs(leader = true)
-        val reign = Reign(mandate, store, workers, settings.teams, policy, timing, clock)
+        val reign = Reign(mandate, store, workers, settings.teams, policy, timing, clock) { it in notices }
         val writer = LedgerWriter(reign, store, WriteLimits(settings.valueKb, settings.txnOps), clock) { leadership.lost() }
         val fleet = Fleet(reign, cloud, clock, "${settings.node}-$run-${mandate.term}", fleetPolicy, timing)
         office.set(Office(reign, writer, fleet))
@@ -182,8 +197,9 @@
         leadership.heard(report.term)
         val mandate = leadership.mandate() ?: return help(report) ?: BeatOutcome.Elsewhere(leadership.leader())
         val reign = office.get()?.reign
-        if (!leadership.mayAnswerWorkers() || report.term > mandate.term) return BeatOutcome.Elsewhere(null)
-        if (reign == null || reign.mandate !== mandate) return BeatOutcome.Elsewhere(null)
+        if (!leadership.mayAnswerWorkers() || report.term.reign > mandate.term.reign) return BeatOutcome.Elsewhere(null)
+        if (reign == null || reign.mandate !== mandate || !reign.mayAnswerWorkers()) return BeatOutcome.Elsewhere(null)
+        if (!reign.ready) return BeatOutcome.Accepted(BeatAnswer(maxOf(mandate.term, report.term), stopsOf(report)))
         return BeatOutcome.Accepted(reign.beat(report))
     }
 
@@ -194,16 +210,39 @@
             helped.clear()
             helpedIn = term
         }
-        if (report.term > term || helped.size >= MOST_HELPED || !helped.add(report.machine)) return null
-        return BeatOutcome.Accepted(BeatAnswer(term, emptyList()))
+        if (report.term.reign > term.reign || helped.size >= MOST_HELPED || !helped.add(report.machine)) return null
+        return BeatOutcome.Accepted(BeatAnswer(maxOf(term, report.term), stopsOf(report)))
+    }
+
+    /** What a node that does not know the jobs can tell a worker all the same: to stop what other nodes said is cancelled. */
+    private fun stopsOf(report: WorkerReport): List<Order> = report.tasks.mapNotNull { reported ->
+        val job = TaskId.parse(reported.task)?.job
+        if (reported.state == TaskState.EXITED || job == null || job !in notices) null
+        else Order(Verb.STOP, reported.task, reported.attempt, 0.0)
+    }
+
+    /** Before a user is told of a cancellation the leader is, if it can be reached, so that nothing of the job starts after it. */
+    private fun tellCancelled(id: JobId) {
+        notices.committed(id)
+        val reign = office.get()?.reign
+        if (reign != null) return reign.cancellationsHeard(listOf(id))
+        val leader = leadership.leader() ?: return
+        if (freshHellos().any { it.node == leader.text }) settings.members.firstOrNull { it.node == leader }?.let(::greet)
     }
 
     /** Greets the other nodes. */
     fun greet() {
-        for (member in settings.members) peers.hello(member, ownHello())?.let(::note)
+        settings.members.forEach(::greet)
         greeted = true
     }
 
+    private fun greet(member: Member) {
+        val told = notices.pendingFor(member.node)
+        val answer = peers.hello(member, ownHello().copy(cancelled = told.map { it.text })) ?: return
+        notices.acknowledged(member.node, told)
+        note(answer)
+    }
+
     override fun hello(from: PeerHello): PeerHello {
         note(from)
         return ownHello()
@@ -212,6 +251,10 @@
     private fun note(hello: PeerHello) {
         hellos[NodeId(hello.node)] = hello to clock.now().ms
         leadership.heard(Term(hello.term.toULong()))
+        val cancelled = hello.cancelled.mapNotNull(JobId::parse)
+        if (cancelled.isEmpty()) return
+        notices.heard(cancelled)
+        office.get()?.reign?.cancellationsHeard(cancelled)
     }
 
     private fun ownHello() = PeerHello(
@@ -240,6 +283,7 @@
         const val CONFIRMED_MS = 2500L
         const val HELLO_FRESH_MS = 6000L
         const val TYPES_STEPS = 30
+        const val MOST_UNINFORMED_STEPS = 8
         const val MOST_HELPED = 10_000
         const val LAG_WEIGHT = 0.03
         const val BUSY_LAG_MS = 25.0
--- a/src/main/kotlin/mountmast/coordination/Dispatch.kt
+++ b/src/main/kotlin/mountmast/coordination/Dispatch.kt
@@ -7,6 +7,7 @@
 import mountmast.protocol.OrdersMessage
 import mountmast.protocol.Session
 import mountmast.protocol.Tally
+import mountmast.protocol.Term
 import mountmast.protocol.Verb
 import mountmast.protocol.WorkerReport
 import mountmast.transport.OrdersOutcome
@@ -24,6 +25,8 @@
     private val workers: Workers,
     private val timing: Timing,
     private val clock: Clock,
+    /** Whether the jobs are known up to a moment ago; the caller holds the lock. */
+    private val isInformed: (Moment) -> Boolean,
     /** Takes the report with which a worker answers a command; called with the lock held. */
     private val onReport: (WorkerReport, Moment) -> Unit,
 ) {
@@ -33,15 +36,37 @@
     /** Workers to be called away from a former leader: apart from the commands, which must not wait for silent hosts. */
     private val callQueue = LinkedHashSet<MachineId>()
 
+    /** The token for [machine]. */
+    fun token(machine: Machine) = mandate.term.fenced(machine.fences)
+
+    /**
+     * Commands without an answer may be executed minutes later, also when their job has long been cancelled. A higher token
+     * makes the worker refuse them: once it shows that token, a task that it does not list can start no more.
+     */
+    fun fenceOffStopped(machine: Machine) {
+        for (assignment in machine.live.values) {
+            if (assignment.stopGraceS == null || assignment.reported != null) continue
+            machine.fences = maxOf(machine.fences, (machine.mayStillStart[assignment.key] ?: continue) + 1)
+        }
+    }
+
+    /** Takes note of the token that a worker of this reign shows. */
+    fun noteToken(machine: Machine, shown: Term) {
+        if (shown.reign != mandate.term.reign) return
+        val fences = (shown.number - mandate.term.number).toInt()
+        machine.fences = maxOf(machine.fences, fences)
+        machine.mayStillStart.values.removeIf { it < fences }
+    }
+
     /** Every command that the worker has not shown to have executed; [inBeat] names the report they answer. */
     fun outstanding(machine: Machine, inBeat: Tally?): List<Order> {
         val orders = ArrayList<Order>()
+        // A job may have been cancelled since the jobs were last read, and nothing of it may start then.
+        val mayStart = isInformed(clock.now())
         for (assignment in machine.live.values) {
             if (assignment.phase != Phase.COMMITTED || assignment.session != machine.session) continue
             val grace = assignment.stopGraceS
-            // A start that may arrive at any time is made to arrive first, so that the stop ends it for good.
-            val start = assignment.reported == null && (grace == null || assignment.key in machine.mayStillStart)
-            if (start) {
+            if (grace == null && assignment.reported == null && mayStart) {
                 orders += Order(Verb.START, assignment.taskName, assignment.attempt)
                 if (inBeat != null) assignment.startedInBeat = inBeat
             }
@@ -90,7 +115,7 @@
             if (orders.isEmpty()) return true
             forStarts(machine, orders) { it.postsOut++ }
             machine.postInFlight = true
-            Command(machine, checkNotNull(machine.session), orders)
+            Command(machine, checkNotNull(machine.session), machine.fences, orders)
         }
         send(command)
         return true
@@ -105,19 +130,19 @@
             if (known.postInFlight || !needsCall(known, clock.now())) return true
             known.postInFlight = true
             known.calledAt = clock.now()
-            Command(known, known.session ?: known.live.values.firstOrNull()?.session ?: Session(1u), emptyList())
+            Command(known, known.session ?: known.live.values.firstOrNull()?.session ?: Session(1u), known.fences, emptyList())
         }
         send(command)
         return true
     }
 
     /** Orders of one session: sent in any other, a start would run in a session that its assignment is not for. */
-    private class Command(val machine: Machine, val session: Session, val orders: List<Order>)
+    private class Command(val machine: Machine, val session: Session, val fences: Int, val orders: List<Order>)
 
     private fun send(command: Command) {
-        val message = OrdersMessage(mandate.term, command.session, command.orders)
+        val message = OrdersMessage(mandate.term.fenced(command.fences), command.session, command.orders)
         val outcome = workers.order(checkNotNull(command.machine.address), message)
-        lock.withLock { posted(command.machine, command.orders, outcome) }
+        lock.withLock { posted(command, outcome) }
     }
 
     /**
@@ -134,8 +159,10 @@
         for (machine in ledger.machines.values) if (needsCall(machine, now)) callQueue += machine.id
     }
 
-    private fun posted(machine: Machine, orders: List<Order>, outcome: OrdersOutcome) {
+    private fun posted(command: Command, outcome: OrdersOutcome) {
         val now = clock.now()
+        val machine = command.machine
+        val orders = command.orders
         machine.postInFlight = false
         forStarts(machine, orders) { it.postsOut-- }
         when (outcome) {
@@ -144,7 +171,7 @@
             OrdersOutcome.NotSent -> machine.postNotBefore = now + POST_PAUSE_MS
             OrdersOutcome.Unknown -> {
                 machine.postNotBefore = now + POST_PAUSE_MS
-                for (order in orders) if (order.verb == Verb.START) machine.mayStillStart += order.task to order.attempt
+                for (order in orders) if (order.verb == Verb.START) machine.mayStillStart[order.task to order.attempt] = command.fences
             }
         }
     }
--- a/src/main/kotlin/mountmast/coordination/Fleet.kt
+++ b/src/main/kotlin/mountmast/coordination/Fleet.kt
@@ -245,14 +245,15 @@
             val job = ledger.jobs[waits.job] ?: continue
             if (job.poisoned) continue
             var left = waits.tasks
-            for (room in rooms) left -= room.take(job, left)
+            val zones = ZoneShares(job)
+            for (room in rooms) left -= room.take(job, left, zones)
             while (left > 0 && wished < MOST_WISHES) {
-                val (offer, type) = bestOffer(job, left, now) ?: break
+                val (offer, type) = bestOffer(job, left, zones, now) ?: break
                 wishes.merge(offer, 1, Int::plus)
                 wished++
                 val room = Planned(offer, type.capacity)
                 rooms += room
-                val taken = room.take(job, left)
+                val taken = room.take(job, left, zones)
                 if (taken == 0) break
                 left -= taken
             }
@@ -271,21 +272,46 @@
     }
 
     private class Planned(val offer: Offer, var room: Resources) {
-        fun take(job: Job, most: Int): Int {
-            if (most <= 0 || !allows(job, offer)) return 0
-            val count = job.perTask.timesIn(room, most)
+        fun take(job: Job, most: Int, zones: ZoneShares): Int {
+            val allowed = minOf(most, zones.left(offer.zone))
+            if (allowed <= 0 || !allows(job, offer)) return 0
+            val count = job.perTask.timesIn(room, allowed)
             room -= job.perTask * count
+            zones.take(offer.zone, count)
             return count
         }
     }
 
-    private fun bestOffer(job: Job, wanted: Int, now: Moment): Pair<Offer, MachineType>? {
+    /**
+     * How many more of a job's tasks each zone may take. A job that is bound to the zone of its first tasks once had machines
+     * rented in the other, cheaper one, and waited beside them.
+     */
+    private class ZoneShares(job: Job) {
+        private val spec = job.spec
+        private val taken = HashMap<Zone, Int>()
+
+        init {
+            if (spec.oneZone || spec.spread) for (assignment in job.live.values) take(assignment.zone, 1)
+        }
+
+        fun left(zone: Zone): Int = when {
+            spec.oneZone && taken.keys.any { it != zone } -> 0
+            spec.spread -> spec.perZoneLimit - (taken[zone] ?: 0)
+            else -> Int.MAX_VALUE
+        }
+
+        fun take(zone: Zone, count: Int) {
+            if (count > 0) taken.merge(zone, count, Int::plus)
+        }
+    }
+
+    private fun bestOffer(job: Job, wanted: Int, zones: ZoneShares, now: Moment): Pair<Offer, MachineType>? {
         class Priced(val offer: Offer, val type: MachineType, val perSlot: Double)
         val priced = ArrayList<Priced>()
         for (type in ledger.types.values) {
-            val slots = job.perTask.timesIn(type.capacity, wanted)
-            if (slots == 0) continue
             for (zone in type.zones) for (spot in listOf(true, false)) {
+                val slots = job.perTask.timesIn(type.capacity, minOf(wanted, zones.left(zone)))
+                if (slots <= 0) continue
                 val offer = Offer(type.id, zone, spot)
                 if (!allows(job, offer) || pauses(offer, now)) continue
                 val price = (if (spot) type.spotPrice else type.price) * (1 + (losses[offer] ?: 0.0) * LOSS_WEIGHT)
--- a/src/main/kotlin/mountmast/coordination/JobDesk.kt
+++ b/src/main/kotlin/mountmast/coordination/JobDesk.kt
@@ -48,6 +48,8 @@
     /** Passes a request to a node that reaches the store, if this one does not. */
     private val relay: (RelayRequest) -> UserAnswer?,
     private val isReady: () -> Boolean,
+    /** A cancellation is in the store; its user is told after this. */
+    private val onCancelled: (JobId) -> Unit,
 ) : UserService {
     @Volatile
     private var types: List<MachineType> = emptyList()
@@ -115,18 +117,23 @@
         repeat(TRIES) {
             val entry = store.get(Keys.job(id)) ?: return lookUp(id) ?: unknown()
             val record = record(entry)
-            if (record.cancelled) return known(id, remember(id, record))
+            if (record.cancelled) return confirm(id, record)
             // Done and cancelled race on this key: only one of them finds the version it expects.
             val cancelled = record.copy(cancelled = true)
             val transaction = Transaction(
                 listOf(Condition(entry.key, entry.stamp)),
                 listOf(Write.Put(entry.key, WireJson.encodeToJsonElement(cancelled))),
             )
-            if (store.commit(transaction) is CommitOutcome.Committed) return known(id, remember(id, cancelled))
+            if (store.commit(transaction) is CommitOutcome.Committed) return confirm(id, cancelled)
         }
         return later("try again")
     }
 
+    private fun confirm(id: JobId, record: JobRecord): UserAnswer {
+        onCancelled(id)
+        return known(id, remember(id, record))
+    }
+
     /** The state of a known job, or null where no such job was accepted. */
     private fun lookUp(id: JobId): UserAnswer? {
         store.get(Keys.job(id))?.let { return describe(record(it)) }
--- a/src/main/kotlin/mountmast/coordination/Leadership.kt
+++ b/src/main/kotlin/mountmast/coordination/Leadership.kt
@@ -21,6 +21,7 @@
 import mountmast.storage.StoreTrouble
 import mountmast.storage.TermRecord
 import mountmast.storage.Transaction
+import mountmast.storage.WatermarkRecord
 import mountmast.storage.Write
 import org.slf4j.LoggerFactory
 import java.util.concurrent.locks.ReentrantLock
@@ -29,7 +30,18 @@
 private val log = LoggerFactory.getLogger("mountmast.leadership")
 
 /** How long leaders may act without the state service, derived from what the workers are promised. */
-data class Timing(val ttlMs: Long, val graceMs: Long, val leaseMs: Long, val clockOffMs: Long, val reportMs: Long) {
+data class Timing(
+    val ttlMs: Long,
+    val graceMs: Long,
+    val leaseMs: Long,
+    val clockOffMs: Long,
+    val reportMs: Long,
+    /**
+     * For how long after the last moment up to which every cancellation is known workers may be answered: the lease that
+     * an answer renews must run out before a cancellation that came just after that moment has to be carried out.
+     */
+    val informedMs: Long,
+) {
     /** After this long without an answer from a leader a worker has given up its tasks, drift included. */
     val leaseOverMs: Long get() = drifted(leaseMs) + MARGIN_MS
 
@@ -39,6 +51,9 @@
      */
     val quietMs: Long get() = maxOf(LEAST_QUIET_MS, reportMs * 5 / 2 + RETRY_MS)
 
+    /** How long a cancellation that another node told of is kept in mind: until all tasks of the job are gone for certain. */
+    val noticesMs: Long get() = 2 * (informedMs + leaseOverMs)
+
     /** For this long after its election a leader must suppose that the one before still answers workers. */
     val formerLeaderMs: Long get() = drifted(graceMs) + MARGIN_MS
 
@@ -51,6 +66,9 @@
     /** Until when, by any node's time of day, helpers may answer for a leader elected at [since] by its own. */
     fun helpUntil(since: WallTime) = WallTime(since.ms + helpMs - 2 * clockOffMs - MARGIN_MS)
 
+    /** Until when, by any node's time of day, those may answer workers who know no cancellation after [watermark]. */
+    fun uninformedUntil(watermark: WallTime) = WallTime(watermark.ms + informedMs - 2 * clockOffMs - MARGIN_MS)
+
     companion object {
         private const val MARGIN_MS = 500L
         private const val HELP_MS = 8000L
@@ -74,14 +92,24 @@
             val lease = (leaseS * 1000).toLong()
             // A successor must be found, and be found by the workers, well before their leases run out.
             val ttl = (lease * TTL_SHARE).toLong().coerceIn(LEAST_TTL_MS, MOST_TTL_MS)
-            val grace = (cancelS * 1000).toLong() - lease - ttl - RESERVE_MS
-            return Timing(ttl, grace.coerceIn(0, 60_000), lease, Math.ceil(clockOffMs).toLong(), (reportS * 1000).toLong())
+            val informed = (cancelS * 1000).toLong() - lease - RESERVE_MS
+            return Timing(
+                ttl, (informed - ttl).coerceIn(0, 60_000), lease, Math.ceil(clockOffMs).toLong(), (reportS * 1000).toLong(),
+                maxOf(informed, ttl),
+            )
         }
     }
 }
 
 /** A time of leading: the term, and the version of the leader's key on which every write depends. */
-class Mandate(val term: Term, val stamp: Stamp, val hold: HoldId, val electedAt: Moment)
+class Mandate(
+    val term: Term,
+    val stamp: Stamp,
+    val hold: HoldId,
+    val electedAt: Moment,
+    /** Of cancellations, as the leader before left it. */
+    val watermark: WallTime,
+)
 
 /**
  * Decides which node leads. The leader's key hangs on a hold at the state service; the term is kept beside it for
@@ -147,7 +175,8 @@
     }
 
     /** Somebody saw [term]. A higher one than ours means another leader, unless the store says otherwise. */
-    fun heard(term: Term) {
+    fun heard(token: Term) {
+        val term = token.first()
         lock.withLock {
             if (term > highest) highest = term
             val own = mandate ?: return
@@ -216,7 +245,7 @@
         if (record != null) heard(record.term)
         if (entry != null && record != null && record.run == run) {
             // A transaction of ours was carried out although no answer came.
-            spareHold?.let { begin(record.term, entry.stamp, it) }
+            spareHold?.let { begin(record, entry.stamp, it) }
             return
         }
         // This node's earlier process is dead, or this one would not run: its place can be taken at once.
@@ -224,7 +253,8 @@
             lock.withLock {
                 leader = record.node
                 helpTerm = record.term
-                helpUntil = timing.helpUntil(record.since)
+                // Whoever helps knows no cancellations either.
+                helpUntil = minOf(timing.helpUntil(record.since), timing.uninformedUntil(record.watermark))
                 seenUpTo = maxOf(seenUpTo, Revision(entry.stamp.number))
             }
             return
@@ -243,16 +273,19 @@
         val termEntry = store.get(Keys.TERM)
         val stored = termEntry?.let { WireJson.decodeFromJsonElement<TermRecord>(it.value).term } ?: Term(0u)
         val term = stored.next()
+        // Where no leader has left a watermark, nothing ran so far.
+        val watermark = store.get(Keys.WATERMARK)?.let { WireJson.decodeFromJsonElement<WatermarkRecord>(it.value).at } ?: began
+        val record = LeaderRecord(node, run, term, began, watermark)
         val transaction = Transaction(
             listOf(Condition(Keys.LEADER, stamp), Condition(Keys.TERM, termEntry?.stamp ?: Stamp.ABSENT)),
             listOf(
-                Write.Put(Keys.LEADER, WireJson.encodeToJsonElement(LeaderRecord(node, run, term, began)), hold),
+                Write.Put(Keys.LEADER, WireJson.encodeToJsonElement(record), hold),
                 Write.Put(Keys.TERM, WireJson.encodeToJsonElement(TermRecord(term))),
             ),
         )
         try {
             when (val outcome = store.commit(transaction)) {
-                is CommitOutcome.Committed -> begin(term, Stamp(outcome.revision.number), hold)
+                is CommitOutcome.Committed -> begin(record, Stamp(outcome.revision.number), hold)
                 is CommitOutcome.Conflict -> log.debug("another node was elected: {}", outcome.failed)
             }
         } catch (e: HoldEnded) {
@@ -260,8 +293,9 @@
         }
     }
 
-    private fun begin(term: Term, stamp: Stamp, hold: HoldId) = lock.withLock {
-        mandate = Mandate(term, stamp, hold, clock.now())
+    private fun begin(record: LeaderRecord, stamp: Stamp, hold: HoldId) = lock.withLock {
+        val term = record.term
+        mandate = Mandate(term, stamp, hold, clock.now(), record.watermark)
         spareHold = null
         leader = node
         doubted = false
--- a/src/main/kotlin/mountmast/coordination/Ledger.kt
+++ b/src/main/kotlin/mountmast/coordination/Ledger.kt
@@ -105,6 +105,26 @@
     val id: JobId get() = spec.id
     val perTask: Resources = spec.perTask
     var cancelled = false
+        private set
+
+    /** Whether the job's record in the store says so; a notice of another node may come before that is seen. */
+    var cancelRecorded = false
+        private set
+
+    /** The cancellation was committed no earlier than this. */
+    var cancelledAfter = WallTime(0)
+        private set
+
+    /** Notes that the job is cancelled, as its record or only a notice says: its tasks are stopped without time to save. */
+    fun cancel(after: WallTime, recorded: Boolean) {
+        if (!cancelled) {
+            cancelled = true
+            cancelledAfter = after
+            // Nobody gains from what a cancelled job's tasks do.
+            for (assignment in live.values) assignment.stopGraceS = 0.0
+        }
+        cancelRecorded = cancelRecorded || recorded
+    }
 
     /** Tasks whose completion is known. */
     val done = BitSet()
@@ -212,6 +232,9 @@
 
     var heardAt = Moment(0)
 
+    /** When it last reported by itself: one that only answers commands hears nothing of its reports' answers. */
+    var reportedAt = Moment(0)
+
     /** When its lease was found to be over. */
     var expiredAt = Moment(0)
 
@@ -251,10 +274,14 @@
     var strangers = emptyList<Stranger>()
 
     /**
-     * Attempts whose start was in commands that got no answer. Such commands may still be executed, minutes later,
-     * and a start repeated after `forget` runs the task again; so these are not forgotten within this session.
+     * Attempts whose start was in commands that got no answer, and with how many fences those were sent. Such commands may
+     * still be executed, minutes later, and a start repeated after `forget` runs the task again; so these are
+     * not forgotten within this session, until the worker shows a higher token.
      */
-    val mayStillStart = HashSet<Pair<String, Attempt>>()
+    val mayStillStart = HashMap<Pair<String, Attempt>, Int>()
+
+    /** By how much the token for this machine is above the reign's first. */
+    var fences = 0
 
     /**
      * Whether the worker has shown our term: from then on it drops what earlier leaders say, and what it reports is
@@ -353,14 +380,14 @@
 
     /** Sets the term in which attempts are given. */
     fun reignIn(term: Term) {
-        lastAttempt = term.number shl ATTEMPT_BITS
+        lastAttempt = term.reign shl ATTEMPT_BITS
     }
 
     /** What the tasks of [team] take that may be on a machine. */
     fun use(team: TeamId): Resources = uses[team] ?: Resources.NONE
 
-    /** Takes in a job record as the store has it. */
-    fun putJob(record: JobRecord, stamp: Stamp, now: Moment): Job {
+    /** Takes in a job record as the store has it; all changes before [knownUpTo] had been taken in until now. */
+    fun putJob(record: JobRecord, stamp: Stamp, now: Moment, knownUpTo: WallTime = WallTime(0)): Job {
         val job = jobs.getOrPut(record.spec.id) {
             Job(record.spec, record.submitted, stamp).apply {
                 learnedAt = now
@@ -368,15 +395,17 @@
             }
         }
         job.stamp = stamp
-        if (record.cancelled && !job.cancelled) {
-            job.cancelled = true
+        if (record.cancelled && !job.cancelRecorded) {
+            job.cancel(knownUpTo, recorded = true)
             finishing += job
-            // Nobody gains from what a cancelled job's tasks do, so they get no time to save.
-            for (assignment in job.live.values) assignment.stopGraceS = 0.0
         }
         return job
     }
 
+    /** The low watermark of cancellations, where all changes before [knownUpTo] are taken in. */
+    fun watermark(knownUpTo: WallTime): WallTime =
+        jobs.values.filter { it.cancelled && !it.nothingLives() }.minOfOrNull { it.cancelledAfter }?.let { minOf(it, knownUpTo) } ?: knownUpTo
+
     /** Rebuilds from what earlier leaders wrote. */
     fun replay(now: Moment) = object : JournalReader {
         override fun done(job: JobId, ranges: String) {
--- a/src/main/kotlin/mountmast/coordination/LedgerWriter.kt
+++ b/src/main/kotlin/mountmast/coordination/LedgerWriter.kt
@@ -10,6 +10,7 @@
 import mountmast.protocol.MachineTypes
 import mountmast.protocol.Moment
 import mountmast.protocol.Stamp
+import mountmast.protocol.WallTime
 import mountmast.protocol.WireJson
 import mountmast.storage.CommitOutcome
 import mountmast.storage.Condition
@@ -28,6 +29,7 @@
 import mountmast.storage.StoreTrouble
 import mountmast.storage.TaskEnd
 import mountmast.storage.Transaction
+import mountmast.storage.WatermarkRecord
 import mountmast.storage.Write
 import org.slf4j.LoggerFactory
 import kotlin.concurrent.withLock
@@ -61,9 +63,11 @@
     private val onDeposed: () -> Unit,
 ) {
     private val ledger get() = reign.ledger
+    private var watermarkNotBefore = Moment(0)
     private var imagesNotBefore = Moment(0)
     private var nextBucket = 0
     private val writtenImages = HashMap<Int, Map<MachineId, Map<ImageId, Double>>>()
+    private var writtenWatermark: WallTime? = null
     private var progressNotBefore = Moment(0)
     private val writtenProgress = ArrayList<String>()
 
@@ -116,6 +120,7 @@
         val batch = Batch()
         batch.conditions += Condition(Keys.LEADER, reign.mandate.stamp)
         addJournal(batch)
+        addWatermark(batch)
         for (job in ledger.finishing.toList()) {
             if (batch.writes.size + 2 > limits.txnOps) break
             if (job.nothingLives()) addOver(batch, job)
@@ -127,10 +132,9 @@
             }
         }
         addSnapshot(batch)
-        val urgent = batch.writes.isNotEmpty()
         addProgress(batch)
         addImages(batch)
-        return batch.takeIf { urgent || it.writes.isNotEmpty() }
+        return batch.takeIf { it.writes.isNotEmpty() }
     }
 
     /** As many changes as the transaction and the free slots hold, in the order in which they happened. */
@@ -187,10 +191,12 @@
         // What users are told went with it.
         writtenProgress.replaceAll { UNKNOWN }
         progressNotBefore = Moment(0)
+        watermarkNotBefore = Moment(0)
+        writtenWatermark = null
     }
 
     private fun addOver(batch: Batch, job: Job) {
-        val status = if (job.cancelled) JobStatus.CANCELLED else JobStatus.DONE
+        val status = if (job.cancelRecorded) JobStatus.CANCELLED else JobStatus.DONE
         batch.conditions += Condition(Keys.job(job.id), job.stamp)
         put(batch, Keys.over(job.id), WireJson.encodeToJsonElement(OverRecord(status, job.spec.tasks)))
         batch.writes += Write.Delete(Keys.job(job.id))
@@ -220,6 +226,17 @@
         }
     }
 
+    /** Tells the next leader, and those who help it, from when on there may be cancellations that no worker was told of. */
+    private fun addWatermark(batch: Batch) {
+        val now = clock.now()
+        if (now < watermarkNotBefore) return
+        watermarkNotBefore = now + WATERMARK_EVERY_MS
+        val watermark = reign.watermark()
+        if (watermark == writtenWatermark) return
+        writtenWatermark = watermark
+        put(batch, Keys.WATERMARK, WireJson.encodeToJsonElement(WatermarkRecord(watermark)))
+    }
+
     /** Tells the nodes that users ask how far the running jobs have come. */
     private fun addProgress(batch: Batch) {
         val now = clock.now()
@@ -396,6 +413,7 @@
 
         /** No entry of the journal is longer, save evictions of very full machines. */
         private const val LONGEST_ENTRY = 400
+        private const val WATERMARK_EVERY_MS = 2000L
         private const val PROGRESS_EVERY_MS = 1000L
         private const val IMAGES_EVERY_MS = 1500L
         private const val IMAGE_BUCKETS = 8
--- a/src/main/kotlin/mountmast/coordination/Node.kt
+++ b/src/main/kotlin/mountmast/coordination/Node.kt
@@ -94,7 +94,8 @@
         const val NANOS_PER_MS = 1_000_000L
         const val WRITE_GAP_MS = 120L
         const val WRITE_IDLE_MS = 500L
-        const val FOLLOW_MS = 10_000L
+        /** Short, since what is known of cancellations is as old as the call that waits for more. */
+        const val FOLLOW_MS = 2000L
         const val FOLLOW_GAP_MS = 150L
         const val FLEET_MS = 1000L
         const val POST_WAIT_MS = 1000L
--- a/src/main/kotlin/mountmast/coordination/Reign.kt
+++ b/src/main/kotlin/mountmast/coordination/Reign.kt
@@ -13,6 +13,7 @@
 import mountmast.protocol.TaskId
 import mountmast.protocol.TeamId
 import mountmast.protocol.TeamQuota
+import mountmast.protocol.WallTime
 import mountmast.protocol.WireJson
 import mountmast.protocol.WorkerReport
 import mountmast.storage.Entry
@@ -42,6 +43,8 @@
     private val policy: Policy,
     private val timing: Timing,
     private val clock: Clock,
+    /** Whether another node told of a job's cancellation. */
+    private val isCancelled: (JobId) -> Boolean = { false },
 ) {
     /** Guards the ledger and everything below. Held for moments; never during I/O. */
     val lock = ReentrantLock()
@@ -56,10 +59,14 @@
     private val scheduler = Scheduler(policy)
     private var assurance: Map<TeamId, Double> = emptyMap()
     private var followFrom = Revision(0u)
+
+    /** All changes of jobs before this are taken in, on this node's steady clock and by its time of day. */
+    private var knownUpTo = Moment(0)
+    private var knownUpToWall = mandate.watermark
     private var placeSoon = false
 
     /** Commands to the workers. */
-    val dispatch = Dispatch(lock, ledger, mandate, workers, timing, clock) { report, now -> takeReport(report, now, isBeat = false) }
+    val dispatch = Dispatch(lock, ledger, mandate, workers, timing, clock, { now -> now - knownUpTo < timing.ttlMs }) { report, now -> takeReport(report, now, isBeat = false) }
 
     /** Machine types that the store does not hold yet. */
     var pendingTypes: MachineTypes? = null
@@ -87,6 +94,8 @@
             lock.withLock { for (entry in images) decode<ImagesRecord>(entry.key, entry.value)?.let(::recallImages) }
             return true
         }
+        val asked = clock.now()
+        val askedWall = clock.wall()
         val types = store.get(Keys.TYPES)
         val (jobs, revision) = store.listAll(Keys.JOBS)
         val pointer = store.get(Keys.SNAPSHOT)
@@ -96,10 +105,12 @@
         lock.withLock {
             val now = clock.now()
             types?.let { entry -> decode<MachineTypes>(entry.key, entry.value)?.let { setTypes(it) } }
-            for (entry in jobs) decode<JobRecord>(entry.key, entry.value)?.let { ledger.putJob(it, entry.stamp, now) }
+            for (entry in jobs) decode<JobRecord>(entry.key, entry.value)?.let { takeIn(it, entry.stamp) }
             journal.snapshotStamp = pointer?.stamp ?: Stamp.ABSENT
             replay(snapshot, parts, slots, now)
             followFrom = revision
+            knownUpTo = asked
+            knownUpToWall = askedWall
             readyAt = now
             ready = true
             log.info(
@@ -146,6 +157,8 @@
 
     /** Learns of new and cancelled jobs; waits up to [waitMs] for them. */
     fun followJobs(waitMs: Long) {
+        val asked = clock.now()
+        val askedWall = clock.wall()
         when (val outcome = store.follow(Keys.JOBS, followFrom, waitMs)) {
             is FollowOutcome.Changes -> lock.withLock {
                 for (change in outcome.changes) {
@@ -157,23 +170,56 @@
                     if (known == null || change.stamp.number > known.stamp.number) takeIn(record, change.stamp)
                 }
                 followFrom = outcome.upTo
+                known(asked, askedWall)
             }
             FollowOutcome.TooOld -> {
                 val (entries, revision) = store.listAll(Keys.JOBS)
                 lock.withLock {
                     for (entry in entries) decode<JobRecord>(entry.key, entry.value)?.let { takeIn(it, entry.stamp) }
                     followFrom = revision
+                    known(asked, askedWall)
                 }
             }
         }
     }
 
+    /** An answer holds all changes that were made before it was asked for. */
+    private fun known(upTo: Moment, upToWall: WallTime) {
+        knownUpTo = upTo
+        knownUpToWall = upToWall
+    }
+
+    /**
+     * Whether workers may be answered, as far as cancellations go. A renewal shows who leads, not what users were told: a
+     * node that the state service refuses, or whose reading hangs, does not hear of cancellations. Each lease that an answer
+     * renews must run out before the first that may be unknown has to be carried out.
+     */
+    fun mayAnswerWorkers(): Boolean = lock.withLock {
+        if (ready) clock.now() - knownUpTo < timing.informedMs else clock.wall() < timing.uninformedUntil(mandate.watermark)
+    }
+
+    /** How long ago the jobs were last known, or null before they are. */
+    fun uninformedMs(): Long? = lock.withLock { if (ready) clock.now() - knownUpTo else null }
+
+    /** The low watermark of cancellations; the caller holds the lock. */
+    fun watermark(): WallTime = ledger.watermark(knownUpToWall)
+
+    /** Another node committed these cancellations; their records may be seen much later. */
+    fun cancellationsHeard(ids: List<JobId>) = lock.withLock {
+        for (id in ids) ledger.jobs[id]?.let { stopCancelled(it, recorded = false) }
+    }
+
+    private fun stopCancelled(job: Job, recorded: Boolean) {
+        job.cancel(knownUpToWall, recorded)
+        job.live.values.forEach { dispatch.queue(it.machine) }
+    }
+
     /** Takes in a job record; the caller holds the lock. */
     fun takeIn(record: JobRecord, stamp: Stamp) {
         if (record.spec.id in recentlyOver) return
-        val job = ledger.putJob(record, stamp, clock.now())
-        if (job.cancelled) {
-            job.live.values.forEach { dispatch.queue(it.machine) }
+        val job = ledger.putJob(record, stamp, clock.now(), knownUpToWall)
+        if (job.cancelled || isCancelled(job.id)) {
+            stopCancelled(job, record.cancelled)
             writable.signalAll()
         } else {
             wakePlacement()
@@ -194,14 +240,17 @@
     /** Takes a worker's report and tells the worker what is outstanding. */
     fun beat(report: WorkerReport): BeatAnswer = lock.withLock {
         val now = clock.now()
-        if (!ready) return BeatAnswer(mandate.term, emptyList())
+        val nothing = BeatAnswer(maxOf(mandate.term, report.term), emptyList())
+        if (!ready) return nothing
         // A copy that comes late renews no lease: whoever sent it has long dropped the answer.
-        if (!takeReport(report, now, isBeat = true)) return BeatAnswer(mandate.term, emptyList())
-        val machine = ledger.machines[report.machine] ?: return BeatAnswer(mandate.term, emptyList())
+        if (!takeReport(report, now, isBeat = true)) return nothing
+        val machine = ledger.machines[report.machine] ?: return nothing
         noteHearing(machine, report, now)
         machine.answeredAt = now
         machine.answeredTally = report.tally
-        BeatAnswer(mandate.term, dispatch.outstanding(machine, inBeat = report.tally))
+        val orders = dispatch.outstanding(machine, inBeat = report.tally)
+        dispatch.fenceOffStopped(machine)
+        BeatAnswer(dispatch.token(machine), orders)
     }
 
     private fun takeReport(report: WorkerReport, now: Moment, isBeat: Boolean): Boolean {
@@ -213,8 +262,11 @@
         if (!ledger.report(report, now)) return false
         val machine = ledger.machines[report.machine] ?: return false
         if (lostAnswers && isBeat) machine.unheard += if (lostInLease) MOST_UNHEARD else 1
-        if (report.term == mandate.term) machine.sawTerm = true
-        if (isBeat && report.term == mandate.term) withdrawStopped(machine, report)
+        if (isBeat) machine.reportedAt = now
+        val isOurs = report.term.reign == mandate.term.reign
+        if (isOurs) machine.sawTerm = true
+        dispatch.noteToken(machine, report.term)
+        if (isBeat && isOurs) withdrawStopped(machine, report)
         if (ledger.unwritten.isNotEmpty()) writable.signalAll()
         if (!wasUsable && machine.usable(now)) wakePlacement()
         return true
@@ -228,7 +280,7 @@
     private fun noteHearing(machine: Machine, report: WorkerReport, now: Moment) {
         val answered = machine.answeredTally
         var missing = answered != null && answered < report.tally && report.term < mandate.term
-        var shown = now - machine.sessionSince > timing.leaseOverMs && report.term == mandate.term
+        var shown = now - machine.sessionSince > timing.leaseOverMs && report.term.reign == mandate.term.reign
         for (assignment in machine.live.values) {
             val told = assignment.startedInBeat ?: continue
             if (assignment.phase != Phase.COMMITTED || assignment.session != report.session || report.tally <= told) continue
@@ -403,7 +455,8 @@
     private fun snapshot(now: Moment): Snapshot {
         val machines = ArrayList<MachineView>(ledger.machines.size)
         for (machine in ledger.machines.values) {
-            if (!machine.usable(now)) continue
+            // Whoever reaches no controller loses its tasks with its lease, although direct commands may still reach it.
+            if (!machine.usable(now) || now - machine.reportedAt > timing.quietMs) continue
             val type = ledger.types[machine.type] ?: continue
             val zone = machine.zone ?: continue
             machines += MachineView(
--- a/src/main/kotlin/mountmast/coordination/Scheduler.kt
+++ b/src/main/kotlin/mountmast/coordination/Scheduler.kt
@@ -140,6 +140,7 @@
         private val smallestOpen = snapshot.jobs.filter { it.openCount > 0 }.minOfOrNull { it.spec.cpus } ?: 0.0
         private var held = snapshot.machines.count { it.reservedFor != null }
         private var heldFor = 0
+        private var ignoresReservations = false
 
         fun run(): Plan {
             val assurance = assess()
@@ -150,6 +151,7 @@
             for (job in open.filter { passedOver(it) }.sortedBy { it.submitted }) placePassedOver(job)
             for (job in open.sortedWith(order)) placeGuaranteed(job)
             for (job in open.sortedWith(urgentFirst.then(order))) placeBorrowed(job)
+            for (job in open.filter { overdue(it) }.sortedBy { it.submitted }) placeOverdue(job)
             for ((job, machines) in chosen) starts(job, machines)
             return Plan(starts, evictions, holds, waiting, assurance)
         }
@@ -164,11 +166,27 @@
          * nothing on any machine for so long is given a single task first, and a machine is kept for it where none has
          * room; the bounds of its team stay.
          */
-        private fun passedOver(job: JobView) = job.waitedS > PASSED_OVER_S && job.live == 0 && job.mayStart && !job.poisoned
+        private fun passedOver(job: JobView) = overdue(job) && job.live == 0 && !job.poisoned
+
+        private fun overdue(job: JobView) = job.waitedS > PASSED_OVER_S && job.mayStart
+
+        /**
+         * Exception: what has waited for so long may take room that nobody else wants, beyond the bound on borrowing and on
+         * machines where its tasks failed before; only the team's limit stays. Nothing is stopped, kept or rented for it.
+         */
+        private fun placeOverdue(job: JobView) {
+            val wanted = if (job.poisoned) minOf(job.openCount, 1 - job.live) else job.openCount
+            if (wanted > chosenFor(job)) place(job, wanted - chosenFor(job)) { true }
+        }
 
         private fun placePassedOver(job: JobView) {
             val quota = snapshot.teams[job.spec.team] ?: return
-            if (place(job, 1) { withinBound(quota, it) } > 0) holdFor(job, 1)
+            if (place(job, 1) { withinBound(quota, it) } <= 0) return
+            // A machine kept for another job stands idle in part meanwhile.
+            ignoresReservations = true
+            val left = place(job, 1) { true }
+            ignoresReservations = false
+            if (left > 0) holdFor(job, 1)
         }
 
         /** Exception: no guarantee means no bound, as twice nothing would starve the team for good. */
@@ -324,11 +342,11 @@
 
         private fun allowed(job: JobView, machine: MachineView): Boolean {
             val spec = job.spec
-            if (machine.reservedFor != null && machine.reservedFor != spec.id) return false
+            if (machine.reservedFor != null && machine.reservedFor != spec.id && !ignoresReservations) return false
             if (machine.spot && !spec.spotAllowed) return false
             if (spec.types != null && machine.type.id !in spec.types) return false
             if (spec.zone != null && machine.zone != spec.zone) return false
-            if (machine.id in job.avoid) return false
+            if (machine.id in job.avoid && !overdue(job)) return false
             return !spec.spread || (zonesOf(job)[machine.zone] ?: 0) < spec.perZoneLimit
         }
 
@@ -430,8 +448,8 @@
     private companion object {
         const val HOPELESS = 0.5
 
-        /** After so long without any start a job is given one, whatever goes before it. */
-        const val PASSED_OVER_S = 90.0
+        /** After so long without any start a job is given one, whatever goes before it: users count 90 s. */
+        const val PASSED_OVER_S = 70.0
 
         /** How long urgent work waits for room before others are stopped for it. */
         const val EVICTION_PATIENCE_S = 2.0
--- a/src/main/kotlin/mountmast/protocol/Ids.kt
+++ b/src/main/kotlin/mountmast/protocol/Ids.kt
@@ -99,13 +99,31 @@
     override fun toString() = text
 }
 
-/** The rising token that names who may give commands; on the wire `helm`. */
+/**
+ * The rising fencing token that names who may give commands; on the wire `helm`. Each reign has a range of tokens: with a
+ * higher one of its own a leader makes a worker refuse the commands that it sent there before.
+ */
 @Serializable
 @JvmInline
 value class Term(val number: ULong) : Comparable<Term> {
     override fun compareTo(other: Term) = number.compareTo(other.number)
-    fun next() = Term(number + 1u)
-    override fun toString() = number.toString()
+    /** Which reign the token belongs to. */
+    val reign: ULong get() = number / TOKENS
+
+    /** The first token of its reign. */
+    fun first() = Term(reign * TOKENS)
+
+    /** The first token of the reign after this one. */
+    fun next() = Term((reign + 1u) * TOKENS)
+
+    /** The token after [fences] more, of the same reign. */
+    fun fenced(fences: Int) = Term(number + fences.toUInt())
+
+    override fun toString() = if (number % TOKENS == 0uL) "$reign" else "$reign.${number % TOKENS}"
+
+    private companion object {
+        const val TOKENS = 1_048_576uL
+    }
 }
 
 /** Session of a worker; it rises each time the worker's lease expires. */
--- a/src/main/kotlin/mountmast/protocol/PeerMessages.kt
+++ b/src/main/kotlin/mountmast/protocol/PeerMessages.kt
@@ -13,6 +13,8 @@
     @ProtoNumber(3) val serves: Boolean,
     /** Whether this node leads in [term]. */
     @ProtoNumber(4) val leads: Boolean,
+    /** Jobs whose cancellation the sender committed, as long as the receiver has not answered a greeting with them. */
+    @ProtoNumber(5) val cancelled: List<String> = emptyList(),
 )
 
 /** A user's request that the sender cannot serve itself. */
--- a/src/main/kotlin/mountmast/storage/Records.kt
+++ b/src/main/kotlin/mountmast/storage/Records.kt
@@ -22,6 +22,7 @@
     const val SNAPSHOT = "snapshot"
     const val SNAPSHOT_PARTS = "s/"
     const val PROGRESS = "p/"
+    const val WATERMARK = "watermark"
 
     /** A job that is not over, or whose tasks are not all gone. Compared by whoever ends or cancels it. */
     fun job(id: JobId) = JOBS + id.text
@@ -54,8 +55,17 @@
     val term: Term,
     /** When its election began, for those who help it at first. */
     val since: WallTime = WallTime(0),
+    /** The watermark of cancellations as it was found at the election. */
+    val watermark: WallTime = WallTime(0),
 )
 
+/**
+ * The low watermark of cancellations: nothing runs any more of the jobs whose cancellation was committed before [at]. Whoever
+ * answers workers without knowing the jobs, at the beginning of a reign, may do so only for a while after it.
+ */
+@Serializable
+data class WatermarkRecord(@SerialName("w") val at: WallTime)
+
 /** The highest term ever taken; never deleted. */
 @Serializable
 data class TermRecord(val term: Term)
--- /dev/null
+++ b/src/test/kotlin/mountmast/coordination/MeetingsTest.kt
@@ -0,0 +1,260 @@
+package mountmast.coordination
+
+import mountmast.protocol.JobId
+import mountmast.protocol.JobSpec
+import mountmast.protocol.JobStatus
+import mountmast.protocol.Shape
+import mountmast.protocol.TeamId
+import mountmast.protocol.Urgency
+import mountmast.standin.World
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Two troubles at a time, each pair as users met it. The rules are checked after each step. */
+class MeetingsTest {
+    private val seeds = 1L..6L
+
+    /** A world in which the tasks of [jobs] jobs run and will for long; a failing seed is named. */
+    private fun meeting(jobs: Int = 3, change: (JobSpec) -> JobSpec = { it }, act: Scene.() -> Unit) = seeds.forEach { seed ->
+        val world = World(seed, quietNetwork = true)
+        try {
+            val ids = (1..jobs).map { number -> world.accept(world.longJob(number, change)) }
+            world.run(20_000, busy = false)
+            Scene(world, ids).act()
+        } catch (e: Throwable) {
+            throw AssertionError("seed $seed at ${world.time.now} ms: ${e.message}", e)
+        }
+    }
+
+    private class Scene(val world: World, val jobs: List<JobId>) {
+        val leading = world.seats.first { it.controller?.reign() != null }
+        val others = world.seats.filter { it !== leading }
+
+        fun runningOf(id: JobId) = world.rules.runningOf(id)
+
+        /** The user of [id] asks [seat], and is told that it is cancelled. */
+        fun confirm(id: JobId, seat: World.Seat = others.first()) = assertEquals(200, world.cancel(id, seat))
+    }
+
+    private fun World.longJob(number: Int, change: (JobSpec) -> JobSpec) = job(number) { drawn ->
+        change(
+            drawn.copy(
+                team = TeamId("free"), shape = Shape.ARRAY, urgency = Urgency.NORMAL, tasks = 4, cpus = 2.0, memoryGb = 4.0, types = null,
+                zone = null, oneZone = false, spread = false, spotAllowed = true, estimateS = 300.0, checkpointEveryS = 0.0, saveS = 0.0,
+            ),
+        )
+    }
+
+    private fun World.accept(spec: JobSpec): JobId {
+        repeat(50) {
+            if (submit(spec) in 200..201) return spec.id
+            run(1000, busy = false)
+        }
+        throw AssertionError("${spec.id} was never accepted")
+    }
+
+    @Test
+    fun `a leader refused alone stops what others cancelled, through an outage longer than a cancellation may take`() =
+        meeting {
+            // Its renewals fail and its reading of the jobs hangs, while the workers stay with it.
+            leading.trouble.storeRefusedUntil = world.time.now + 14_000
+            world.run(1500, busy = false)
+            jobs.forEach { confirm(it) }
+            world.store.outage(40_000)
+            world.run(60_000, busy = false)
+            jobs.forEach { assertEquals(0, runningOf(it)) }
+        }
+
+    @Test
+    fun `cancellations a leader cannot be told of end within their time, though a renewal gets through`() =
+        meeting {
+            // No notice arrives and no change is seen, but a lucky renewal makes the old grace begin anew.
+            leading.trouble.peersCutUntil = world.time.now + 90_000
+            leading.trouble.followsNothingUntil = world.time.now + 90_000
+            world.run(500, busy = false)
+            jobs.forEach { confirm(it) }
+            world.run(8000, busy = false)
+            world.store.outage(40_000)
+            world.run(70_000, busy = false)
+            jobs.forEach { assertEquals(0, runningOf(it)) }
+        }
+
+    @Test
+    fun `a leader elected just before an outage keeps no task alive that was cancelled in between`() =
+        meeting {
+            leading.trouble.storeCutUntil = world.time.now + 90_000
+            leading.trouble.workersCutUntil = world.time.now + 90_000
+            leading.trouble.peersCutUntil = world.time.now + 90_000
+            world.run(200, busy = false)
+            jobs.forEach { confirm(it) }
+            // The confirming node ends before it has told anybody, and the successor cannot read the jobs.
+            others.forEach { it.crash(200) }
+            others.forEach { it.loadsNothing = true }
+            world.run(8000, busy = false)
+            world.store.outage(40_000)
+            world.run(60_000, busy = false)
+            jobs.forEach { assertEquals(0, runningOf(it)) }
+        }
+
+    @Test
+    fun `a start held up until after its job was cancelled starts nothing once its worker has shown a higher token`() =
+        meeting(jobs = 1) {
+            // The commands to one machine are held up while its reports and their answers go on.
+            val worker = world.cloud.workers.first { it.busy }
+            val before = worker.report()
+            val late = world.accept(world.longJob(90) { it.copy(tasks = 30, cpus = 1.0, memoryGb = 1.0, imageGb = 0.0) })
+            world.holdCommands(worker, 9000)
+            world.run(3000, busy = false)
+            confirm(late)
+            world.run(World.CANCEL_MS / 2, busy = false)
+            assertTrue(worker.report().term >= before.term)
+            assertEquals(0, runningOf(late))
+            assertTrue(world.seats.mapNotNull { it.controller?.reign() }.none { late in it.ledger.jobs }, "the job is never over")
+        }
+
+    @Test
+    fun `a team at its limit stays within it while its machines cannot be asked, jobs are cancelled and the leader changes`() =
+        meeting(jobs = 4, { it.copy(team = TeamId("blue"), cpus = 4.0, tasks = 2, estimateS = 40.0) }) {
+            val waiting = (20..24).map { world.accept(world.longJob(it) { spec -> spec.copy(team = TeamId("blue"), cpus = 4.0, tasks = 2, estimateS = 5.0) }) }
+            world.cloud.workers.filter { it.busy }.take(3).forEach { it.cutUntil = world.time.now + 15_000 }
+            world.run(1000, busy = false)
+            leading.crash(6000)
+            jobs.take(2).forEach { confirm(it) }
+            world.run(40_000, busy = false)
+            world.expectDone(waiting + jobs.drop(2), 200_000)
+        }
+
+    @Test
+    fun `all controllers away for longer than a lease`() = meeting(jobs = 3, { it.copy(estimateS = 15.0) }) {
+        world.seats.forEach { it.crash(3 * World.LEASE_MS) }
+        world.run(3 * World.LEASE_MS, busy = false)
+        world.expectDone(jobs, 120_000)
+    }
+
+    @Test
+    fun `a report held back until a new leader has acted ends and revives nothing`() = meeting {
+        val held = world.cloud.workers.filter { it.busy }.map { it.report() }
+        leading.crash(20_000)
+        world.cloud.workers.filter { it.busy }.take(1).forEach { it.reboot() }
+        world.run(9000, busy = false)
+        val successor = world.seats.first { it.controller?.reign() != null }
+        val started = world.rules.started
+        held.forEach { successor.controller!!.beat(it) }
+        world.run(10_000, busy = false)
+        assertTrue(world.rules.started - started <= 4, "${world.rules.started - started} tasks were started again")
+        jobs.forEach { assertEquals(4, runningOf(it)) }
+    }
+
+    @Test
+    fun `tasks that end far apart across changes of leader are each counted once`() =
+        meeting(jobs = 2, { it.copy(tasks = 3, estimateS = 5.0) }) {
+            val apart = world.accept(world.longJob(30) { it.copy(tasks = 3, cpus = 4.0, estimateS = 12.0) })
+            val ended = world.cloud.workers.filter { it.alive }.onEachIndexed { i, it -> it.slowTimes = 1L + i }
+            assertTrue(ended.isNotEmpty())
+            repeat(3) {
+                world.seats.firstOrNull { it.controller?.reign() != null }?.crash(3000)
+                world.run(9000, busy = false)
+            }
+            world.expectDone(jobs + apart, 240_000)
+        }
+
+    @Test
+    fun `transactions carried out late, after newer ones, change nothing`() = meeting(jobs = 3, { it.copy(estimateS = 20.0) }) {
+        world.seats.forEach { it.trouble.lateWritesUntil = world.time.now + 60_000 }
+        val more = (40..46).map { world.accept(world.longJob(it) { spec -> spec.copy(estimateS = 4.0) }) }
+        more.take(2).forEach { id -> repeat(60) { if (world.cancel(id) != 200) world.run(1000, busy = false) } }
+        world.run(30_000, busy = false)
+        world.seats.first { it.controller?.reign() != null }.crash(300)
+        world.run(30_000, busy = false)
+        world.expectDone(jobs + more.drop(2), 120_000)
+    }
+
+    @Test
+    fun `a job bound to the zone of its first tasks gets machines there when it loses some`() =
+        meeting(jobs = 1, { it.copy(oneZone = true, tasks = 6, cpus = 4.0, estimateS = 40.0) }) {
+            val home = world.rules.zonesOf(jobs.first()).keys.single()
+            world.cloud.workers.filter { it.busy }.drop(1).forEach { world.cloud.take(it.id) }
+            world.run(15_000, busy = false)
+            assertTrue(world.cloud.workers.none { it.zone != home && it.alive }, "machines were rented where the job may not run")
+            world.expectDone(jobs, 200_000)
+        }
+
+    @Test
+    fun `a cancellation, a question and a repeated submission meet the end of the last task`() {
+        for (seed in 1L..25L) {
+            val world = World(seed, quietNetwork = true)
+            val ids = (1..6).map { world.accept(world.longJob(it) { spec -> spec.copy(tasks = 1, estimateS = 0.5) }) }
+            world.cancelsAtEnd(60_000)
+            world.run(60_000, busy = false)
+            for (id in ids) {
+                val final = world.poll(id)
+                assertTrue(final?.isFinal == true, "seed $seed: $id is $final")
+                world.seats.forEach { assertEquals(200, world.cancel(id, it)) }
+                assertEquals(final, world.poll(id), "seed $seed")
+            }
+        }
+    }
+
+    @Test
+    fun `ten leaders in two minutes, inside an outage too`() = meeting(jobs = 3, { it.copy(estimateS = 30.0) }) {
+        repeat(10) { number ->
+            if (number == 4) world.store.outage(25_000)
+            (world.seats.firstOrNull { it.controller?.reign() != null } ?: world.seats.random(world.random)).crash(if (number % 2 == 0) 200 else 4000)
+            world.run(12_000, busy = false)
+        }
+        world.expectDone(jobs, 150_000)
+    }
+
+    @Test
+    fun `a leader ends while machines with long tasks cannot be reached, or do not hear the new one`() =
+        meeting(jobs = 3, { it.copy(estimateS = 60.0) }) {
+            val busy = world.cloud.workers.filter { it.busy }
+            busy.forEachIndexed { i, it -> if (i % 2 == 0) it.cutUntil = world.time.now + 20_000 else it.deafUntil = world.time.now + 20_000 }
+            leading.crash(30_000)
+            world.run(2000, busy = false)
+            confirm(jobs.first())
+            world.expectDone(jobs.drop(1), 250_000)
+        }
+
+    @Test
+    fun `jobs are cancelled through the new leader while the old one still reaches workers and users`() = meeting {
+        leading.trouble.storeCutUntil = world.time.now + 60_000
+        leading.trouble.peersCutUntil = world.time.now + 60_000
+        repeat(2) { world.cloud.workers.filter { it.busy }.random(world.random).let { it.calledByNobodyUntil = world.time.now + 60_000 } }
+        world.run(6000, busy = false)
+        jobs.forEach { confirm(it) }
+        world.run(World.CANCEL_MS + 5000, busy = false)
+        jobs.forEach { assertEquals(0, runningOf(it)) }
+    }
+
+    @Test
+    fun `workers that reach no controller get no more work, though direct commands reach them`() = meeting(jobs = 2) {
+        val mute = world.cloud.workers.filter { it.busy }.onEach { it.muteUntil = world.time.now + 60_000 }
+        confirm(jobs.first())
+        world.run(3 * World.LEASE_MS, busy = false)
+        assertEquals(0, runningOf(jobs.first()))
+        val before = mute.sumOf { it.report().tasks.size }
+        val more = world.accept(world.longJob(50) { it.copy(estimateS = 3.0) })
+        world.run(12_000, busy = false)
+        assertTrue(mute.sumOf { it.report().tasks.size } <= before, "a machine that loses all with its lease gets work")
+        world.run(40_000, busy = false)
+        world.expectDone(listOf(more), 60_000)
+    }
+
+    @Test
+    fun `controllers hand over and back, all end, and one returns within a second`() = meeting(jobs = 3, { it.copy(estimateS = 25.0) }) {
+        repeat(3) {
+            world.seats.firstOrNull { it.controller?.reign() != null }?.crash(world.random.nextLong(50, 900))
+            world.run(world.random.nextLong(500, 3000), busy = false)
+        }
+        world.seats.forEachIndexed { i, it -> it.crash(if (i == 0) 500 else 25_000) }
+        world.run(10_000, busy = false)
+        world.expectDone(jobs, 120_000)
+    }
+
+    private fun World.expectDone(ids: Collection<JobId>, withinMs: Long) {
+        repeat((withinMs / 5000).toInt()) { if (ids.any { poll(it) != JobStatus.DONE }) run(5000, busy = false) }
+        assertEquals(emptyList<JobId>(), ids.filter { poll(it) != JobStatus.DONE })
+    }
+}
--- a/src/test/kotlin/mountmast/standin/Rules.kt
+++ b/src/test/kotlin/mountmast/standin/Rules.kt
@@ -83,6 +83,7 @@
     fun taskStarts(task: TaskId, place: Place, now: Long) {
         started++
         firstStart.putIfAbsent(task.job, now)
+        lastStart[task.job] = now
         val spec = submitted.getValue(task.job)
         running[task]?.let { if (it.machine != place.machine) broken("ran_twice", "$task on ${it.machine} and ${place.machine}") }
         if (spec.types != null && place.type !in spec.types!!) broken("wrong_place", "$task on ${place.type}")
@@ -98,6 +99,38 @@
         checkCancelled(task, now)
     }
 
+    /** The controllers command a start of [id]; what they cannot know of a cancellation is a moment old at most. */
+    fun startCommanded(id: JobId, now: Long) {
+        val at = cancelToldAt[id] ?: return
+        if (now - at > START_AFTER_CANCEL_MS) broken("started_cancelled", "$id, ${now - at} ms after its cancellation")
+    }
+
+    /** A submission that can't run or lacks a field got [status]. */
+    fun oddAnswered(what: String, status: Int) {
+        if (status in 200..299) broken("accepted_odd", "$what got $status")
+    }
+
+    /** Whether [id] has tasks that neither run nor are done, and how many run in each zone. */
+    fun waits(id: JobId): Boolean = runningOf(id) + completed[id].orEmpty().size < submitted.getValue(id).tasks
+    fun zonesOf(id: JobId): Map<Zone, Int> = running.filterKeys { it.job == id }.values.groupingBy { it.zone }.eachCount()
+    fun useOf(team: TeamId): Resources = running.keys.map { submitted.getValue(it.job) }.filter { it.team == team }
+        .fold(Resources.NONE) { sum, job -> sum + job.perTask }
+
+    private val roomSince = HashMap<JobId, Long>()
+
+    /** Notes whether [id] waits although a machine that fits has room and its team is under its limit. */
+    fun waitsBesideRoom(id: JobId, besideRoom: Boolean, now: Long) {
+        val quiet = quietSince
+        if (!besideRoom || quiet == null || now < quiet) {
+            roomSince -= id
+            return
+        }
+        val since = maxOf(roomSince.getOrPut(id) { now }, lastStart[id] ?: 0)
+        if (now - since > LEFT_WAITING_MS) broken("left_waiting", "$id for ${now - since} ms")
+    }
+
+    private val lastStart = HashMap<JobId, Long>()
+
     fun taskGone(task: TaskId, place: MachineId, done: Boolean) {
         if (running[task]?.machine == place) running -= task
         if (done) completed.getOrPut(task.job) { HashSet() } += task.index
@@ -108,6 +141,9 @@
         for (task in running.keys) checkCancelled(task, now)
     }
 
+    /** How many tasks of [id] are on machines. */
+    fun runningOf(id: JobId) = running.keys.count { it.job == id }
+
     fun tellable(id: JobId) = told[id]
 
     private fun checkCancelled(task: TaskId, now: Long) {
@@ -119,5 +155,7 @@
 
     private companion object {
         const val FORGOTTEN_MS = 75_000L
+        const val LEFT_WAITING_MS = 90_000L
+        const val START_AFTER_CANCEL_MS = 3000L
     }
 }
--- a/src/test/kotlin/mountmast/standin/RulesTest.kt
+++ b/src/test/kotlin/mountmast/standin/RulesTest.kt
@@ -56,6 +56,33 @@
         breaks("wrong_place") { rules.taskStarts(TaskId(spread.id, 3), good, 0) }
     }
 
+    @Test
+    fun `a start commanded after its job's cancellation was confirmed`() {
+        rules.cancelling(spec.id)
+        rules.statusAnswered(spec.id, 200, JobStatus.CANCELLED, 0)
+        rules.startCommanded(spec.id, 2000)
+        breaks("started_cancelled") { rules.startCommanded(spec.id, 4000) }
+    }
+
+    @Test
+    fun `a job accepted although it lacks a field`() {
+        rules.oddAnswered("no owner", 400)
+        breaks("accepted_odd") { rules.oddAnswered("no owner", 201) }
+    }
+
+    @Test
+    fun `a job left waiting beside room`() {
+        rules.waitsBesideRoom(spec.id, true, 0)
+        rules.waitsBesideRoom(spec.id, true, 200_000)
+        rules.quietSince = 200_000
+        rules.waitsBesideRoom(spec.id, true, 200_000)
+        rules.waitsBesideRoom(spec.id, true, 285_000)
+        rules.waitsBesideRoom(spec.id, false, 286_000)
+        rules.waitsBesideRoom(spec.id, true, 287_000)
+        rules.waitsBesideRoom(spec.id, true, 375_000)
+        breaks("left_waiting") { rules.waitsBesideRoom(spec.id, true, 378_000) }
+    }
+
     @Test
     fun `a task of a cancelled job`() {
         rules.taskStarts(TaskId(spec.id, 0), good, 0)
--- a/src/test/kotlin/mountmast/standin/VirtualTime.kt
+++ b/src/test/kotlin/mountmast/standin/VirtualTime.kt
@@ -46,6 +46,9 @@
     var stalledUntil = 0L
     var peersCutUntil = 0L
 
+    /** Its waiting for changes at the state service gets no answer, while all other requests do. */
+    var followsNothingUntil = 0L
+
     /** What workers report arrives, but nothing that this node sends reaches any worker. */
     var sendsNothingUntil = 0L
     var dieAtNextCall = false
@@ -56,12 +59,18 @@
     /** Lets time pass for everybody else. */
     var standStill: (Long) -> Unit = {}
 
+    /** A share of its transactions gets no answer and is carried out seconds later, after newer ones. */
+    var lateWritesUntil = 0L
+
+    fun writesLate(random: Random) = time.now < lateWritesUntil && random.nextInt(LATE_ONE_IN) == 0
+
     /** Whether requests that were carried out may be carried out once more, long afterwards. */
     var repeats = false
 
     fun cutFromPeers() = time.now < peersCutUntil
     fun cutFromStore() = time.now < storeCutUntil
     fun refusedByStore() = time.now < storeRefusedUntil
+    fun followsNothing() = time.now < followsNothingUntil
     fun sendsNothing() = time.now < sendsNothingUntil
     fun cutFromWorkers() = time.now < workersCutUntil
     fun stalled() = time.now < stalledUntil
@@ -86,5 +95,6 @@
 
     private companion object {
         const val REPEATED_ONE_IN = 12
+        const val LATE_ONE_IN = 4
     }
 }
