Polls that wait together share a request to the state service

A transaction that only compares tells of many jobs at once whether they are as they were last read, after the questions came, so no answer is older than what any node has told. Tests: JobReaderTest.

--- a/src/main/kotlin/mountmast/coordination/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/Controller.kt
@@ -50,7 +50,7 @@
     private val timing = Timing.of(settings.leaseS, settings.cancelS, settings.clockOffMs, settings.reportS)
     private val leadership = Leadership(store, settings.node, run, timing, clock)
     private val notices = CancellationNotices(settings.members.map { it.node }, clock, timing.noticesMs)
-    private val desk = JobDesk(store, settings.teams, clock, ::relay, ::ready, ::tellCancelled)
+    private val desk = JobDesk(store, settings.teams, clock, ::relay, ::ready, ::tellCancelled, settings.txnOps * CONDITIONS_PER_OP)
 
     /** What users may ask of this node. */
     val users: UserService get() = desk
@@ -283,6 +283,9 @@
         const val CONFIRMED_MS = 2500L
         const val HELLO_FRESH_MS = 6000L
         const val TYPES_STEPS = 30
+
+        /** A transaction takes four times as many conditions as changes. */
+        const val CONDITIONS_PER_OP = 4
         const val MOST_UNINFORMED_STEPS = 8
         const val MOST_HELPED = 10_000
         const val LAG_WEIGHT = 0.03
--- a/src/main/kotlin/mountmast/coordination/JobDesk.kt
+++ b/src/main/kotlin/mountmast/coordination/JobDesk.kt
@@ -50,6 +50,8 @@
     private val isReady: () -> Boolean,
     /** A cancellation is in the store; its user is told after this. */
     private val onCancelled: (JobId) -> Unit,
+    /** How many conditions a transaction takes. */
+    mostConditions: Int,
 ) : UserService {
     @Volatile
     private var types: List<MachineType> = emptyList()
@@ -59,6 +61,7 @@
     private val over: Cache<JobId, OverRecord> = CacheBuilder.newBuilder().maximumSize(MOST_REMEMBERED).build()
 
     private val progress = ProgressBoard(store, clock)
+    private val reader = JobReader(store, mostConditions)
 
     /** Reads the machine types that the leader has stored. */
     fun refreshTypes() {
@@ -104,7 +107,7 @@
     override fun status(id: String, relayed: Boolean): UserAnswer {
         val job = JobId.parse(id) ?: return unknown()
         over.getIfPresent(job)?.let { return known(job, it) }
-        return served(relayed, RelayRequest("GET", "/v1/jobs/$id", "")) { lookUp(job) ?: unknown() }
+        return served(relayed, RelayRequest("GET", "/v1/jobs/$id", "")) { describe(job, reader.read(job)) ?: unknown() }
     }
 
     override fun cancel(id: String, relayed: Boolean): UserAnswer {
@@ -135,13 +138,15 @@
     }
 
     /** The state of a known job, or null where no such job was accepted. */
-    private fun lookUp(id: JobId): UserAnswer? {
-        store.get(Keys.job(id))?.let { return describe(record(it)) }
-        // A job moves from one key to the other but never back, so this order cannot miss it.
-        val entry = store.get(Keys.over(id)) ?: return null
-        val record = WireJson.decodeFromJsonElement<OverRecord>(entry.value)
-        over.put(id, record)
-        return known(id, record)
+    private fun lookUp(id: JobId): UserAnswer? = describe(id, reader.read(id))
+
+    private fun describe(id: JobId, state: JobState): UserAnswer? = when (state) {
+        is JobState.Live -> describe(state.record)
+        is JobState.Over -> {
+            over.put(id, state.record)
+            known(id, state.record)
+        }
+        JobState.Unknown -> null
     }
 
     private fun describe(record: JobRecord): UserAnswer {
--- /dev/null
+++ b/src/test/kotlin/mountmast/coordination/JobReaderTest.kt
@@ -0,0 +1,99 @@
+package mountmast.coordination
+
+import mountmast.protocol.JobId
+import mountmast.protocol.Stamp
+import mountmast.protocol.WallTime
+import mountmast.protocol.WireJson
+import mountmast.standin.StandInStore
+import mountmast.standin.Trouble
+import mountmast.standin.VirtualTime
+import mountmast.standin.World
+import mountmast.storage.CommitOutcome
+import mountmast.storage.Condition
+import mountmast.storage.Entry
+import mountmast.storage.JobRecord
+import mountmast.storage.Keys
+import mountmast.storage.StateStore
+import mountmast.storage.StoreTrouble
+import mountmast.storage.Transaction
+import mountmast.storage.Write
+import kotlinx.serialization.json.encodeToJsonElement
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Executors
+import java.util.concurrent.Semaphore
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+
+class JobReaderTest {
+    private val time = VirtualTime()
+    private val inner = StandInStore(time).View(Random(1), Trouble(time))
+    private val asked = AtomicInteger()
+
+    /** Lets one request after the other through, and only when told to. */
+    private val gate = Semaphore(0)
+
+    @Volatile
+    private var gated = false
+
+    private val store = object : StateStore by inner {
+        override fun get(key: String): Entry? = counted { inner.get(key) }
+        override fun commit(transaction: Transaction): CommitOutcome = counted { inner.commit(transaction) }
+
+        private fun <T> counted(act: () -> T): T {
+            asked.incrementAndGet()
+            if (gated) gate.tryAcquire(20, TimeUnit.SECONDS)
+            return synchronized(inner) { act() }
+        }
+    }
+    private val reader = JobReader(store, 8)
+    private val jobs = (1..20).map { World(1).job(it) }
+
+    private fun put(number: Int, cancelled: Boolean, stamp: Stamp) = inner.commit(
+        Transaction(
+            listOf(Condition(Keys.job(jobs[number].id), stamp)),
+            listOf(Write.Put(Keys.job(jobs[number].id), WireJson.encodeToJsonElement(JobRecord(jobs[number], WallTime(0), cancelled)))),
+        ),
+    )
+
+    private fun cancelled(id: JobId) = (reader.read(id) as JobState.Live).record.cancelled
+
+    @Test
+    fun `questions that wait together are answered with few requests, and as the store has it after they came`() {
+        jobs.indices.forEach { put(it, false, Stamp.ABSENT) }
+        jobs.forEach { reader.read(it.id) }
+        asked.set(0)
+        gated = true
+        val pool = Executors.newFixedThreadPool(jobs.size)
+        val first = pool.submit<Boolean> { cancelled(jobs[0].id) }
+        while (asked.get() == 0) Thread.sleep(1)
+        val begun = CountDownLatch(jobs.size - 1)
+        val rest = jobs.drop(1).map { job -> pool.submit<Boolean> { begun.countDown(); cancelled(job.id) } }
+        begun.await(10, TimeUnit.SECONDS)
+        Thread.sleep(50)
+        // The first request is still under way: what changes now must be in every answer but perhaps the first.
+        synchronized(inner) { put(5, true, checkNotNull(inner.get(Keys.job(jobs[5].id))).stamp) }
+        gated = false
+        gate.release(100)
+        assertEquals(listOf(5), rest.indices.filter { rest[it].get(10, TimeUnit.SECONDS) }.map { it + 1 })
+        assertEquals(false, first.get(10, TimeUnit.SECONDS))
+        assertTrue(asked.get() <= 6, "${asked.get()} requests for ${jobs.size} questions")
+        pool.shutdown()
+    }
+
+    @Test
+    fun `an unknown job is unknown, and a failure is told to whoever asked and passes`() {
+        assertEquals(JobState.Unknown, reader.read(jobs[0].id))
+        put(0, false, Stamp.ABSENT)
+        val trouble = Trouble(time).apply { storeRefusedUntil = 100 }
+        val failing = JobReader(StandInStore(time).View(Random(1), trouble), 8)
+        repeat(3) { assertThrows(StoreTrouble::class.java) { failing.read(jobs[0].id) } }
+        time.advance(200)
+        assertEquals(JobState.Unknown, failing.read(jobs[0].id))
+        assertEquals(false, cancelled(jobs[0].id))
+    }
+}
