--- a/src/main/kotlin/mountmast/coordination/Fleet.kt
+++ b/src/main/kotlin/mountmast/coordination/Fleet.kt
@@ -46,6 +46,9 @@
 
     /** Spot machines lost lately, which makes an offer look dearer. */
     private val losses = HashMap<Offer, Double>()
+
+    /** Machines that lately never came up, which makes an offer one to avoid. */
+    private val neverCame = HashMap<Offer, Double>()
     private var rentals = 0
     private var troubled = false
     private var typesAt: Moment? = null
@@ -150,6 +153,7 @@
         }
         log.info("machine {} ({}, {}) returned: {}", machine.id, machine.type, machine.zone, why)
         val offer = offerOf(machine) ?: return
+        if (machine.state == MachineState.BOOTING && !machine.listedFailed) neverCame.merge(offer, 1.0, Double::plus)
         if (machine.spot && (machine.state == MachineState.EXPIRED || machine.noticed)) losses.merge(offer, 1.0, Double::plus)
     }
 
@@ -236,7 +240,12 @@
     /** What to rent: machines for the waiting tasks that those still booting will not have room for. */
     private fun wishes(now: Moment): Map<Offer, Int> {
         losses.replaceAll { _, lost -> lost * LOSS_DECAY }
-        val rooms = ledger.machines.values.filter { comesSoon(it, now) }
+        neverCame.replaceAll { _, count -> count * LOSS_DECAY }
+        val late = lateOffers(now)
+        // Where nothing else is to be had, or offer after offer is late, more machines would only be late as well: rentals must
+        // not run away.
+        val isElsewhere = late.size < MANY_LATE_OFFERS && offers().any { it !in late && !pauses(it, now) }
+        val rooms = ledger.machines.values.filter { comesSoon(it, now) || (!isElsewhere && offerOf(it) in late) }
             .mapNotNull { machine -> offerOf(machine)?.let { offer -> ledger.types[offer.type]?.let { Planned(offer, it.capacity) } } }
             .toMutableList()
         val wishes = LinkedHashMap<Offer, Int>()
@@ -248,7 +257,7 @@
             val zones = ZoneShares(job)
             for (room in rooms) left -= room.take(job, left, zones)
             while (left > 0 && wished < MOST_WISHES) {
-                val (offer, type) = bestOffer(job, left, zones, now) ?: break
+                val (offer, type) = bestOffer(job, left, zones, now, late) ?: break
                 wishes.merge(offer, 1, Int::plus)
                 wished++
                 val room = Planned(offer, type.capacity)
@@ -266,11 +275,41 @@
 
     /** Whether it boots, or its worker has yet to show our token: no pass has given it work so far. */
     private fun comesSoon(machine: Machine, now: Moment): Boolean = !machine.deleting && !machine.noticed && when (machine.state) {
-        MachineState.BOOTING -> !machine.listedRunning || now - machine.knownAt < soonHeardMs
+        MachineState.BOOTING -> if (machine.listedRunning) now - machine.knownAt < soonHeardMs else !isLate(machine, now)
         MachineState.UP -> !machine.sawTerm && machine.live.isEmpty() && now - machine.sessionSince < soonHeardMs
         else -> false
     }
 
+    /**
+     * Whether it has booted for longer than machines mostly take. It may still come up, and is used then; but what waits for
+     * it gets another machine meanwhile.
+     */
+    private fun isLate(machine: Machine, now: Moment): Boolean {
+        val type = ledger.types[machine.type] ?: return false
+        return now - machine.rentedAt > (type.bootS * LATE_TIMES * 1000).toLong() + LATE_EXTRA_MS
+    }
+
+    /**
+     * Offers of which most machines rented lately are late or never came up: whatever is rented there next would be late as
+     * well. They are left alone while others can be had. Among many machines a few that never boot mean nothing.
+     */
+    private fun lateOffers(now: Moment): Set<Offer> {
+        val missing = HashMap<Offer, Double>(neverCame)
+        val came = HashMap<Offer, Int>()
+        for (machine in ledger.machines.values) {
+            val offer = offerOf(machine) ?: continue
+            if (machine.state != MachineState.BOOTING) {
+                if (now - machine.rentedAt < LATELY_MS) came.merge(offer, 1, Int::plus)
+            } else if (!machine.deleting && !machine.listedRunning && isLate(machine, now)) {
+                missing.merge(offer, 1.0, Double::plus)
+            }
+        }
+        return missing.filter { (offer, count) -> count >= MANY_LATE && count > (came[offer] ?: 0) }.keys
+    }
+
+    private fun offers() = ledger.types.values.asSequence()
+        .flatMap { type -> type.zones.asSequence().flatMap { zone -> sequenceOf(Offer(type.id, zone, true), Offer(type.id, zone, false)) } }
+
     private class Planned(val offer: Offer, var room: Resources) {
         fun take(job: Job, most: Int, zones: ZoneShares): Int {
             val allowed = minOf(most, zones.left(offer.zone))
@@ -305,7 +344,7 @@
         }
     }
 
-    private fun bestOffer(job: Job, wanted: Int, zones: ZoneShares, now: Moment): Pair<Offer, MachineType>? {
+    private fun bestOffer(job: Job, wanted: Int, zones: ZoneShares, now: Moment, late: Set<Offer>): Pair<Offer, MachineType>? {
         class Priced(val offer: Offer, val type: MachineType, val perSlot: Double)
         val priced = ArrayList<Priced>()
         for (type in ledger.types.values) {
@@ -318,6 +357,7 @@
                 priced += Priced(offer, type, price / slots)
             }
         }
+        if (priced.any { it.offer !in late }) priced.removeIf { it.offer in late }
         val cheapest = priced.minOfOrNull { it.perSlot } ?: return null
         // Small machines fall idle sooner and leave the large ones, of which there are few, to tasks that need them.
         val chosen = priced.filter { it.perSlot <= cheapest * NEARLY_CHEAPEST }
@@ -332,6 +372,13 @@
                 (spec.spotAllowed || !offer.spot)
         }
 
+        /** Machines mostly boot within 1.5 times what is said. */
+        const val LATE_TIMES = 2.0
+        const val LATE_EXTRA_MS = 5000L
+        const val MANY_LATE = 3
+        const val LATELY_MS = 300_000L
+        const val MANY_LATE_OFFERS = 2
+
         /** Some machines take several times as long to boot; what exceeds this is given up. */
         const val BOOT_PATIENCE = 4
         const val BOOT_EXTRA_MS = 15_000L
--- a/src/test/kotlin/mountmast/coordination/SchedulerTest.kt
+++ b/src/test/kotlin/mountmast/coordination/SchedulerTest.kt
@@ -137,4 +137,26 @@
         assertTrue(plan.evictions.isEmpty())
         assertTrue(plan.starts.none { it.machine.text == "soon" }, "kept for the large tasks")
     }
+
+    @Test
+    fun `what waited for long takes idle room beyond the bound on borrowing, within the team's limit`() {
+        // 24 of red's 32 CPUs are in use, three times its guarantee: the bound on borrowing is reached, the limit is not.
+        fun startsAfter(waitedS: Double, failedHere: Boolean = false): Int {
+            val waiting = job(2, red, tasks = 4, waitedS = waitedS)
+            val view = if (!failedHere) waiting else JobView(
+                waiting.spec, waiting.submitted, 4, 4, 0, emptyMap(), 50.0, setOf(MachineId("idle")), false, true, 100.0, waitedS,
+            ) { count -> IntArray(count) { it } }
+            return plan(listOf(machine("idle", 40.0)), listOf(job(1, red, tasks = 0, live = 6), view)).starts.size
+        }
+        assertEquals(0, startsAfter(50.0))
+        assertEquals(2, startsAfter(80.0), "up to the limit of 32")
+        assertEquals(2, startsAfter(80.0, failedHere = true), "no other machine is to be had")
+    }
+
+    @Test
+    fun `a job passed over gets a task on a machine that is kept for another`() {
+        val kept = machine("kept", 8.0).apply { reservedFor = JobId("j-9") }
+        assertEquals(0, plan(listOf(kept), listOf(job(1, free, tasks = 3, waitedS = 50.0))).starts.size)
+        assertEquals(1, plan(listOf(kept), listOf(job(1, free, tasks = 3, waitedS = 80.0))).starts.size)
+    }
 }
--- a/src/test/kotlin/mountmast/standin/Rules.kt
+++ b/src/test/kotlin/mountmast/standin/Rules.kt
@@ -84,6 +84,7 @@
         started++
         firstStart.putIfAbsent(task.job, now)
         lastStart[task.job] = now
+        starts.merge(task.job, 1, Int::plus)
         val spec = submitted.getValue(task.job)
         running[task]?.let { if (it.machine != place.machine) broken("ran_twice", "$task on ${it.machine} and ${place.machine}") }
         if (spec.types != null && place.type !in spec.types!!) broken("wrong_place", "$task on ${place.type}")
@@ -141,6 +142,11 @@
         for (task in running.keys) checkCancelled(task, now)
     }
 
+    /** How many starts of tasks of [id] there were. */
+    fun startsOf(id: JobId) = starts[id] ?: 0
+
+    private val starts = HashMap<JobId, Int>()
+
     /** How many tasks of [id] are on machines. */
     fun runningOf(id: JobId) = running.keys.count { it.job == id }
 
--- a/src/test/kotlin/mountmast/standin/World.kt
+++ b/src/test/kotlin/mountmast/standin/World.kt
@@ -178,6 +178,7 @@
                 else OrdersOutcome.Rejected(worker.report())
             if (time.now < worker.calledByNobodyUntil) return OrdersOutcome.NotSent
             if (time.now < worker.commandsHeldUntil) {
+                heldCommands++
                 time.later(worker.commandsHeldMs) { if (worker.alive) execute() }
                 return OrdersOutcome.Unknown
             }
@@ -453,6 +454,9 @@
 
     private fun leader() = seats.filter { it.controller?.reign() != null }.maxByOrNull { it.controller?.reign()?.mandate?.term ?: Term(0u) }
 
+    var heldCommands = 0
+        private set
+
     /** Direct commands to [worker] are held up for [ms], and carried out then. */
     fun holdCommands(worker: StandInWorker, ms: Long) {
         worker.commandsHeldMs = ms
