--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/DelayReports.kt
@@ -0,0 +1,38 @@
+package mountmast.coordination
+
+import mountmast.protocol.Moment
+import org.slf4j.LoggerFactory
+
+private val log = LoggerFactory.getLogger("mountmast.reign")
+
+/** Tells operators which jobs stall or are late. Guarded as its [Ledger] is. */
+class DelayReports(private val ledger: Ledger) {
+    /** Tells operators once of each job whose deadline has passed. */
+    fun tellLate(untilDueS: (Job) -> Double) {
+        for (job in ledger.jobs.values) {
+            if (job.calledLate || job.cancelled || untilDueS(job) >= 0) continue
+            job.calledLate = true
+            log.info("job {} is late: {} of {} tasks are done, {} placed", job.id, job.doneCount, job.spec.tasks, job.live.size)
+        }
+    }
+
+    /** Tells operators which jobs stall, for how long and what they wait for. */
+    fun tellStalls(waiting: List<Waiting>, now: Moment) {
+        for (waits in waiting) {
+            val job = ledger.jobs[waits.job] ?: continue
+            val since = now - job.lastProgress
+            val told = job.lastStallReport
+            if (since < STALL_MS || (told != null && now - told < STALL_REPEAT_MS)) continue
+            job.lastStallReport = now
+            log.info(
+                "job {} stalls for {} s: {} tasks of {} CPUs and {} GB wait for a machine with room",
+                job.id, since / 1000, waits.tasks, job.spec.cpus, job.spec.memoryGb,
+            )
+        }
+    }
+
+    private companion object {
+        const val STALL_MS = 30_000L
+        const val STALL_REPEAT_MS = 60_000L
+    }
+}
--- a/src/main/kotlin/mountmast/coordination/Fleet.kt
+++ b/src/main/kotlin/mountmast/coordination/Fleet.kt
@@ -183,7 +183,7 @@
     /** Its tasks are free once it is deleted; but where hardly any worker hears us, it is not the machines. */
     private fun unreachedForGood(machine: Machine, now: Moment): Boolean {
         val since = machine.unreachedSince ?: return false
-        return now - since > reign.unreachedPatienceMs && !reign.manyUnreached()
+        return now - since > reign.unreachedPatienceMs && !reign.hearing.manyUnreached()
     }
 
     /** What takes long to boot is kept longer, and what costs more than need be is not. */
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/Journal.kt
@@ -0,0 +1,29 @@
+package mountmast.coordination
+
+import mountmast.protocol.JobId
+import mountmast.protocol.MachineId
+import mountmast.protocol.Stamp
+
+/** What the journal does not say yet, in the order in which it happened. */
+sealed interface Unwritten {
+    /** [assignment] was decided; its start may be sent once this is written. */
+    class Started(val assignment: Assignment) : Unwritten
+
+    /** [assignment] is off its machine; it counts until this is written. */
+    class Ended(val assignment: Assignment) : Unwritten
+
+    /** [machine] is kept for [job], and [victims] are stopped for that. */
+    class Reserved(val machine: MachineId, val job: JobId, val victims: List<String>) : Unwritten
+}
+
+/** Where the journal stands in the store. */
+class JournalState {
+    /** Number of the next record. */
+    var next = 1L
+
+    /** What the latest whole snapshot holds, and which it is. */
+    var snapshotUpTo = 0L
+    var generation = 0L
+    var snapshotStamp = Stamp.ABSENT
+    val stamps = Array(LedgerWriter.JOURNAL_SLOTS) { Stamp.ABSENT }
+}
--- a/src/main/kotlin/mountmast/coordination/Reign.kt
+++ b/src/main/kotlin/mountmast/coordination/Reign.kt
@@ -57,6 +57,8 @@
     private val writable: Condition = lock.newCondition()
     private val placeable: Condition = lock.newCondition()
     private val scheduler = Scheduler(policy)
+    private val delays = DelayReports(ledger)
+    val hearing = Hearing(ledger, mandate, timing)
     private var assurance: Map<TeamId, Double> = emptyMap()
     private var followFrom = Revision(0u)
 
@@ -245,7 +247,7 @@
         // A copy that comes late renews no lease: whoever sent it has long dropped the answer.
         if (!takeReport(report, now, isBeat = true)) return nothing
         val machine = ledger.machines[report.machine] ?: return nothing
-        noteHearing(machine, report, now)
+        if (hearing.note(machine, report, now, readyAt)) wakePlacement()
         machine.answeredAt = now
         machine.answeredTally = report.tally
         val orders = dispatch.outstanding(machine, inBeat = report.tally)
@@ -261,7 +263,7 @@
         val lostInLease = lostAnswers && now - checkNotNull(before).answeredAt < timing.leaseMs
         if (!ledger.report(report, now)) return false
         val machine = ledger.machines[report.machine] ?: return false
-        if (lostAnswers && isBeat) machine.unheard += if (lostInLease) MOST_UNHEARD else 1
+        if (lostAnswers && isBeat) machine.unheard += if (lostInLease) Hearing.MOST_UNHEARD else 1
         if (isBeat) machine.reportedAt = now
         val isOurs = report.term.reign == mandate.term.reign
         if (isOurs) machine.sawTerm = true
@@ -272,39 +274,6 @@
         return true
     }
 
-    /**
-     * Notices workers whose reports arrive while answers and commands do not reach them: their token lags, starts that
-     * an answer told are not shown, or their session rises although they are answered. Such a machine gets no more
-     * work, and is returned if that lasts; a report that shows an answer's effect clears it.
-     */
-    private fun noteHearing(machine: Machine, report: WorkerReport, now: Moment) {
-        val answered = machine.answeredTally
-        var missing = answered != null && answered < report.tally && report.term < mandate.term
-        var shown = now - machine.sessionSince > timing.leaseOverMs && report.term.reign == mandate.term.reign
-        for (assignment in machine.live.values) {
-            val told = assignment.startedInBeat ?: continue
-            if (assignment.phase != Phase.COMMITTED || assignment.session != report.session || report.tally <= told) continue
-            if (assignment.reported == null) {
-                missing = true
-            } else {
-                shown = true
-                assignment.startedInBeat = null
-            }
-        }
-        // A node that has just begun answers so slowly that workers drop its answers: that says nothing of them.
-        if (now - readyAt < SETTLING_MS) machine.unheard = 0
-        else if (missing) machine.unheard++
-        else if (shown) machine.unheard = 0
-        if (machine.unheard >= MOST_UNHEARD && machine.unreachedSince == null) {
-            machine.unreachedSince = now
-            log.info("machine {} reports, but nothing seems to reach it", machine.id)
-        } else if (machine.unheard == 0 && machine.unreachedSince != null) {
-            machine.unreachedSince = null
-            log.info("machine {} is reached again", machine.id)
-            wakePlacement()
-        }
-    }
-
     /**
      * Ends assignments that are to be stopped and never got to the worker: its report under our token lacks them,
      * and no start of them can be under way any more.
@@ -346,21 +315,14 @@
     fun unfit(): String? = lock.withLock {
         val now = clock.now()
         val up = ledger.machines.values.filter { it.state == MachineState.UP && !it.deleting }
-        if (!ready || now - readyAt < timing.quietMs || up.size < LEAST_FOR_DEAF) return null
+        if (!ready || now - readyAt < timing.quietMs || up.size < Hearing.LEAST_FOR_DEAF) return null
         when {
             up.count { now - it.heardAt < timing.quietMs } * 2 < up.size -> "hardly any worker gets through to this node"
-            manyUnreached() -> "this node reaches hardly any worker"
+            hearing.manyUnreached() -> "this node reaches hardly any worker"
             else -> null
         }
     }
 
-    /** Whether so many workers hear nothing that it must be this node, which cannot send. The caller holds the lock. */
-    fun manyUnreached(): Boolean {
-        val up = ledger.machines.values.count { it.state == MachineState.UP && !it.deleting }
-        val unreached = ledger.machines.values.count { it.unreachedSince != null && !it.deleting }
-        return unreached >= LEAST_FOR_DEAF && unreached * 2 > up
-    }
-
     /** How long a machine may hear nothing before it is returned. */
     val unreachedPatienceMs: Long get() = 2 * timing.leaseOverMs
 
@@ -397,8 +359,8 @@
         ledger.health.noticeSlow(now)
         emptyQuarantined()
         dispatch.callWorkers(readyAt, now)
-        tellStalls(now)
-        tellLate()
+        delays.tellStalls(waiting, now)
+        delays.tellLate(::untilDueS)
     }
 
     private fun reserve(id: MachineId, job: JobId, now: Moment) {
@@ -496,30 +458,6 @@
     private fun untilDueS(job: Job): Double =
         (job.spec.deadlineS ?: NO_DEADLINE_S) - (clock.wall().ms - job.submitted.ms) / 1000.0
 
-    /** Tells operators once of each job whose deadline has passed. */
-    private fun tellLate() {
-        for (job in ledger.jobs.values) {
-            if (job.calledLate || job.cancelled || untilDueS(job) >= 0) continue
-            job.calledLate = true
-            log.info("job {} is late: {} of {} tasks are done, {} placed", job.id, job.doneCount, job.spec.tasks, job.live.size)
-        }
-    }
-
-    /** Tells operators which jobs stall, for how long and what they wait for. */
-    private fun tellStalls(now: Moment) {
-        for (waits in waiting) {
-            val job = ledger.jobs[waits.job] ?: continue
-            val since = now - job.lastProgress
-            val told = job.lastStallReport
-            if (since < STALL_MS || (told != null && now - told < STALL_REPEAT_MS)) continue
-            job.lastStallReport = now
-            log.info(
-                "job {} stalls for {} s: {} tasks of {} CPUs and {} GB wait for a machine with room",
-                job.id, since / 1000, waits.tasks, job.spec.cpus, job.spec.memoryGb,
-            )
-        }
-    }
-
     /** Has the next pass come soon; the caller holds the lock. */
     fun wakePlacement() {
         placeSoon = true
@@ -548,14 +486,8 @@
     private companion object {
         const val RESERVATION_MS = 30_000L
         const val LEAST_REMAINING = 0.1
-        const val STALL_MS = 30_000L
-        const val STALL_REPEAT_MS = 60_000L
         const val TIDY_MS = 1000L
         const val VICTIMS_PER_ENTRY = 16
-        const val MOST_UNHEARD = 2
-
-        const val SETTLING_MS = 15_000L
-        const val LEAST_FOR_DEAF = 3
         const val NO_DEADLINE_S = 1e6
         const val REMEMBERED = 1000
     }
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/SchedulingView.kt
@@ -0,0 +1,115 @@
+package mountmast.coordination
+
+import mountmast.protocol.ImageId
+import mountmast.protocol.JobId
+import mountmast.protocol.JobSpec
+import mountmast.protocol.MachineId
+import mountmast.protocol.MachineType
+import mountmast.protocol.Resources
+import mountmast.protocol.TaskId
+import mountmast.protocol.TeamId
+import mountmast.protocol.TeamQuota
+import mountmast.protocol.Urgency
+import mountmast.protocol.WallTime
+import mountmast.protocol.Zone
+
+/** The open values of the design. */
+data class Policy(
+    /** λ: weight of the newest degree of assurance. */
+    val smoothing: Double = 0.3,
+    /** η: borrowed work of a team goes up to this many times its guarantee. */
+    val borrowing: Double = 3.0,
+    /** α: weight of past stops in the cost of another. */
+    val overheadWeight: Double = 0.5,
+    /** β: weight of the number of victims. */
+    val fragmentWeight: Double = 0.3,
+    /** Jobs at least this urgent are guaranteed. */
+    val guaranteedFrom: Urgency = Urgency.NORMAL,
+    val guaranteedFromOf: Map<TeamId, Urgency> = emptyMap(),
+    val passMs: Long = 1000,
+    val evictionsPerPass: Int = 4,
+    val startsPerPass: Int = 2000,
+    /** Weight of the past in a team's mean run time. */
+    val runDecay: Double = 0.7,
+) {
+    fun threshold(team: TeamId) = guaranteedFromOf[team] ?: guaranteedFrom
+}
+
+/** A task that is on a machine, as the scheduler sees it. */
+class Resident(
+    val task: TaskId,
+    val spec: JobSpec,
+    val remainingS: Double,
+    val preemptions: Int,
+    /** Whether it is being stopped already. */
+    val stopping: Boolean,
+) {
+    val team: TeamId get() = spec.team
+    val urgency: Urgency get() = spec.urgency
+}
+
+/** A machine that can take tasks, as the scheduler sees it. */
+class MachineView(
+    val id: MachineId,
+    val type: MachineType,
+    val zone: Zone,
+    val spot: Boolean,
+    var room: Resources,
+    val images: Set<ImageId>,
+    var reservedFor: JobId?,
+    residents: () -> List<Resident>,
+) {
+    /** Made only when asked for: most passes place tasks without looking at what runs. */
+    val residents: List<Resident> by lazy(LazyThreadSafetyMode.NONE, residents)
+}
+
+/** A job with tasks to place or on machines, as the scheduler sees it. */
+class JobView(
+    val spec: JobSpec,
+    val submitted: WallTime,
+    /** How many tasks are to be placed. */
+    val openCount: Int,
+    /** All tasks not done. */
+    val unfinished: Int,
+    val live: Int,
+    val perZone: Map<Zone, Int>,
+    val remainingS: Double,
+    val avoid: Set<MachineId>,
+    val poisoned: Boolean,
+    /** False while the job is backed off. */
+    val mayStart: Boolean,
+    /** How much later than now its tasks could start and still be in time. */
+    val slackS: Double,
+    /** Since when none of its tasks was placed. */
+    val waitedS: Double,
+    /** The first tasks to place, in order. */
+    val open: (count: Int) -> IntArray,
+)
+
+/** What the scheduler decides on: nothing else enters a decision. */
+class Snapshot(
+    val machines: List<MachineView>,
+    val jobs: List<JobView>,
+    val uses: Map<TeamId, Resources>,
+    val teams: Map<TeamId, TeamQuota>,
+    /** Smoothed degrees of the pass before; empty in a leader's first pass. */
+    val assurance: Map<TeamId, Double>,
+)
+
+data class Start(val job: JobId, val index: Int, val machine: MachineId)
+
+data class Eviction(val machine: MachineId, val forJob: JobId, val victims: List<TaskId>)
+
+/** A machine kept for a job whose tasks are too large for the room that comes free at once. */
+data class Hold(val machine: MachineId, val forJob: JobId)
+
+/** Open tasks of a job that found no machine although team and bounds allow them. */
+data class Waiting(val job: JobId, val tasks: Int, val guaranteed: Boolean)
+
+class Plan(
+    val starts: List<Start>,
+    val evictions: List<Eviction>,
+    val holds: List<Hold>,
+    val waiting: List<Waiting>,
+    val assurance: Map<TeamId, Double>,
+)
--- a/src/test/kotlin/mountmast/coordination/MeetingsTest.kt
+++ b/src/test/kotlin/mountmast/coordination/MeetingsTest.kt
@@ -3,9 +3,7 @@
 import mountmast.protocol.JobId
 import mountmast.protocol.JobSpec
 import mountmast.protocol.JobStatus
-import mountmast.protocol.Shape
 import mountmast.protocol.TeamId
-import mountmast.protocol.Urgency
 import mountmast.standin.World
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -37,22 +35,8 @@
         fun confirm(id: JobId, seat: World.Seat = others.first()) = assertEquals(200, world.cancel(id, seat))
     }
 
-    private fun World.longJob(number: Int, change: (JobSpec) -> JobSpec) = job(number) { drawn ->
-        change(
-            drawn.copy(
-                team = TeamId("free"), shape = Shape.ARRAY, urgency = Urgency.NORMAL, tasks = 4, cpus = 2.0, memoryGb = 4.0, types = null,
-                zone = null, oneZone = false, spread = false, spotAllowed = true, estimateS = 300.0, checkpointEveryS = 0.0, saveS = 0.0,
-            ),
-        )
-    }
-
-    private fun World.accept(spec: JobSpec): JobId {
-        repeat(50) {
-            if (submit(spec) in 200..201) return spec.id
-            run(1000, busy = false)
-        }
-        throw AssertionError("${spec.id} was never accepted")
-    }
+    private fun World.longJob(number: Int, change: (JobSpec) -> JobSpec) =
+        plainJob(number) { change(it.copy(team = TeamId("free"), estimateS = 300.0)) }
 
     @Test
     fun `a leader refused alone stops what others cancelled, through an outage longer than a cancellation may take`() =
--- a/src/test/kotlin/mountmast/coordination/RecoveryTest.kt
+++ b/src/test/kotlin/mountmast/coordination/RecoveryTest.kt
@@ -4,7 +4,6 @@
 import mountmast.protocol.JobSpec
 import mountmast.protocol.JobStatus
 import mountmast.protocol.Order
-import mountmast.protocol.Shape
 import mountmast.protocol.TeamId
 import mountmast.protocol.TypeId
 import mountmast.protocol.Urgency
@@ -17,23 +16,6 @@
 
 /** One kind of trouble at a time: the rules hold, and the work gets done. The rules are checked after each step. */
 class RecoveryTest {
-    private fun World.plain(number: Int, change: (JobSpec) -> JobSpec = { it }) = job(number) { drawn ->
-        change(
-            drawn.copy(
-                team = TeamId("red"), shape = Shape.ARRAY, urgency = Urgency.NORMAL, tasks = 4, cpus = 2.0, memoryGb = 4.0, types = null,
-                zone = null, oneZone = false, spread = false, spotAllowed = true, estimateS = 3.0, checkpointEveryS = 0.0, saveS = 0.0,
-            ),
-        )
-    }
-
-    private fun World.accept(spec: JobSpec): JobId {
-        repeat(50) {
-            if (submit(spec) in 200..201) return spec.id
-            run(1000, busy = false)
-        }
-        throw AssertionError("${spec.id} was never accepted")
-    }
-
     private fun World.expectDone(ids: Collection<JobId>, withinMs: Long) {
         run(withinMs, busy = false)
         assertEquals(emptyList<JobId>(), ids.filter { poll(it) != JobStatus.DONE })
@@ -44,12 +26,12 @@
     @Test
     fun `a poisoned job is backed off and evicts nobody, while others get done`() {
         val world = World(21, quietNetwork = true)
-        val doomed = world.plain(1) { it.copy(tasks = 8, urgency = Urgency.PRODUCTION) }
+        val doomed = world.plainJob(1) { it.copy(tasks = 8, urgency = Urgency.PRODUCTION) }
         world.poisoned += doomed.id
         world.accept(doomed)
         world.run(40_000, busy = false)
         val starts = world.rules.started
-        val good = (2..5).map { world.accept(world.plain(it)) }
+        val good = (2..5).map { world.accept(world.plainJob(it)) }
         world.expectDone(good, 40_000)
         assertTrue(world.rules.started - starts < 16 + 12, "${world.rules.started - starts} starts: the doomed job is not backed off")
         assertEquals(JobStatus.CANCELLED, world.run { cancel(doomed.id); poll(doomed.id) })
@@ -58,20 +40,20 @@
     @Test
     fun `a sick machine is quarantined and returned`() {
         val world = World(22, quietNetwork = true)
-        val first = (1..2).map { world.accept(world.plain(it)) }
+        val first = (1..2).map { world.accept(world.plainJob(it)) }
         world.expectDone(first, 30_000)
         val sick = world.cloud.workers.first { it.alive }.apply { sick = true }
-        world.expectDone((3..12).map { world.accept(world.plain(it)) }, 90_000)
+        world.expectDone((3..12).map { world.accept(world.plainJob(it)) }, 90_000)
         assertTrue(!sick.alive, "the sick machine is still rented")
     }
 
     @Test
     fun `a slow machine is quarantined and returned, and its tasks get done elsewhere`() {
         val world = World(32, quietNetwork = true)
-        world.expectDone((1..3).map { world.accept(world.plain(it)) }, 30_000)
+        world.expectDone((1..3).map { world.accept(world.plainJob(it)) }, 30_000)
         val slow = world.cloud.workers.first { it.alive }.apply { slowTimes = 20 }
         // Longer than the others, so that the job knows what its tasks take elsewhere.
-        val jobs = (4..9).map { world.accept(world.plain(it) { spec -> spec.copy(tasks = 8) }) }
+        val jobs = (4..9).map { world.accept(world.plainJob(it) { spec -> spec.copy(tasks = 8) }) }
         world.expectDone(jobs, 90_000)
         assertTrue(!slow.alive, "the slow machine is still rented")
     }
@@ -79,7 +61,7 @@
     @Test
     fun `a wave of spot losses without notice is made good`() {
         val world = World(23)
-        val jobs = (1..6).map { world.accept(world.plain(it) { spec -> spec.copy(estimateS = 8.0) }) }
+        val jobs = (1..6).map { world.accept(world.plainJob(it) { spec -> spec.copy(estimateS = 8.0) }) }
         world.run(12_000, busy = false)
         world.cloud.workers.filter { it.alive && it.spot }.forEach { world.cloud.take(it.id) }
         world.expectDone(jobs, 120_000)
@@ -88,14 +70,14 @@
     @Test
     fun `a burst beyond all limits is worked off`() {
         val world = World(24)
-        val jobs = (1..40).map { world.accept(world.plain(it) { spec -> spec.copy(team = world.teams.keys.random(world.random)) }) }
+        val jobs = (1..40).map { world.accept(world.plainJob(it) { spec -> spec.copy(team = world.teams.keys.random(world.random)) }) }
         world.expectDone(jobs, 200_000)
     }
 
     @Test
     fun `a rolling restart loses nothing`() {
         val world = World(25)
-        val jobs = (1..6).map { world.accept(world.plain(it) { spec -> spec.copy(estimateS = 20.0) }) }
+        val jobs = (1..6).map { world.accept(world.plainJob(it) { spec -> spec.copy(estimateS = 20.0) }) }
         for (seat in world.seats) {
             world.run(6000, busy = false)
             seat.crash(4000)
@@ -106,7 +88,7 @@
     @Test
     fun `an outage of the state service shorter than the grace kills no task`() {
         val world = World(26, quietNetwork = true)
-        val job = world.accept(world.plain(1) { it.copy(estimateS = 90.0) })
+        val job = world.accept(world.plainJob(1) { it.copy(estimateS = 90.0) })
         // One machine in twenty never boots, and is replaced only after a while.
         repeat(60) { if (world.rules.started < 4) world.run(1000, busy = false) }
         val started = world.rules.started
@@ -121,7 +103,7 @@
     fun `a cut-off leader returns no machine when it comes back`() {
         // Its ledger saw every worker fall silent, and it once deleted all of them before it learned that it led no more.
         val world = World(27, quietNetwork = true)
-        val job = world.accept(world.plain(1) { it.copy(estimateS = 90.0) })
+        val job = world.accept(world.plainJob(1) { it.copy(estimateS = 90.0) })
         world.run(20_000, busy = false)
         val busy = world.cloud.workers.count { it.busy }
         val leading = world.seats.first { it.controller?.reign() != null }
@@ -136,7 +118,7 @@
     @Test
     fun `a leader that no worker reaches resigns`() {
         val world = World(28, quietNetwork = true)
-        world.accept(world.plain(1) { it.copy(estimateS = 90.0, tasks = 4, cpus = 4.0, types = listOf(TypeId("s"))) })
+        world.accept(world.plainJob(1) { it.copy(estimateS = 90.0, tasks = 4, cpus = 4.0, types = listOf(TypeId("s"))) })
         world.run(20_000, busy = false)
         val leading = world.seats.first { it.controller?.reign() != null }
         leading.trouble.workersCutUntil = world.time.now + 60_000
@@ -149,8 +131,8 @@
     fun `a job cancelled before its placement is in the store goes over`() {
         // What was only intended of a cancelled job is not written, and once stayed for ever and held the limit.
         val world = World(29, quietNetwork = true)
-        world.expectDone(listOf(world.accept(world.plain(1))), 30_000)
-        val id = world.accept(world.plain(2))
+        world.expectDone(listOf(world.accept(world.plainJob(1))), 30_000)
+        val id = world.accept(world.plainJob(2))
         val leading = world.seats.first { it.controller?.reign() != null }.controller!!
         leading.follow(0)
         leading.pass()
@@ -164,7 +146,7 @@
     @Test
     fun `a job of very many tasks stays within the limits on values and transactions`() {
         val world = World(30, quietNetwork = true)
-        val job = world.plain(1) { it.copy(tasks = 3000, team = TeamId("free"), cpus = 0.1, memoryGb = 0.2, estimateS = 0.5, image = it.image, imageGb = 0.0) }
+        val job = world.plainJob(1) { it.copy(tasks = 3000, team = TeamId("free"), cpus = 0.1, memoryGb = 0.2, estimateS = 0.5, image = it.image, imageGb = 0.0) }
         world.expectDone(listOf(world.accept(job)), 150_000)
         assertTrue(world.store.largestValue < 2048, "${world.store.largestValue} bytes")
     }
@@ -172,7 +154,7 @@
     @Test
     fun `a node is unready only while another can serve what it cannot`() {
         val world = World(31, quietNetwork = true)
-        world.accept(world.plain(1))
+        world.accept(world.plainJob(1))
         val users = world.seats.map { it.controller!!.users }
         assertTrue(users.all { it.ready() })
         world.seats[0].trouble.storeRefusedUntil = world.time.now + 8000
@@ -207,11 +189,11 @@
     fun `a job passed over for long gets a task, with urgent work all around it`() {
         val world = World(34, quietNetwork = true)
         val free = TeamId("free")
-        val big = world.plain(1) { it.copy(team = free, tasks = 3, cpus = 16.0, memoryGb = 32.0, types = listOf(TypeId("l")), estimateS = 5.0) }
+        val big = world.plainJob(1) { it.copy(team = free, tasks = 3, cpus = 16.0, memoryGb = 32.0, types = listOf(TypeId("l")), estimateS = 5.0) }
         val jobs = ArrayList<JobId>()
         var number = 10
         fun flood() = repeat(12) {
-            val small = world.plain(number++) { it.copy(team = free, urgency = Urgency.HIGH, tasks = 30, cpus = 1.0, memoryGb = 2.0, estimateS = 8.0) }
+            val small = world.plainJob(number++) { it.copy(team = free, urgency = Urgency.HIGH, tasks = 30, cpus = 1.0, memoryGb = 2.0, estimateS = 8.0) }
             jobs += world.accept(small)
         }
         flood()
@@ -228,12 +210,12 @@
     @Test
     fun `a machine that hears nothing gets no more work and is returned, and its tasks run elsewhere`() {
         val world = World(35, quietNetwork = true)
-        world.accept(world.plain(1) { it.copy(estimateS = 60.0) })
+        world.accept(world.plainJob(1) { it.copy(estimateS = 60.0) })
         world.run(15_000, busy = false)
         val deaf = world.cloud.workers.first { it.busy }.apply { deafUntil = world.time.now + 120_000 }
         world.run(12_000, busy = false)
         val since = world.time.now
-        val jobs = (2..9).map { world.accept(world.plain(it)) }
+        val jobs = (2..9).map { world.accept(world.plainJob(it)) }
         world.run(40_000, busy = false)
         assertTrue(!deaf.alive, "still rented ${world.time.now - since} ms later")
         world.expectDone(jobs, 60_000)
@@ -242,7 +224,7 @@
     @Test
     fun `a machine that hears nothing for a moment is not punished`() {
         val world = World(36, quietNetwork = true)
-        world.accept(world.plain(1) { it.copy(estimateS = 90.0) })
+        world.accept(world.plainJob(1) { it.copy(estimateS = 90.0) })
         world.run(30_000, busy = false)
         val started = world.rules.started
         assertEquals(4, started)
@@ -255,7 +237,7 @@
     @Test
     fun `a node that cannot send to any worker resigns and returns no machine`() {
         val world = World(37, quietNetwork = true)
-        world.accept(world.plain(1) { it.copy(tasks = 16, cpus = 2.0, estimateS = 90.0, team = TeamId("free")) })
+        world.accept(world.plainJob(1) { it.copy(tasks = 16, cpus = 2.0, estimateS = 90.0, team = TeamId("free")) })
         world.run(20_000, busy = false)
         val leading = world.seats.first { it.controller?.reign() != null }
         val machines = world.cloud.workers.filter { it.alive }
@@ -269,7 +251,7 @@
     @Test
     fun `a leader cut off with its workers loses them to its successor long before its grace is over`() {
         val world = World(38, quietNetwork = true)
-        val job = world.accept(world.plain(1) { it.copy(estimateS = 60.0) })
+        val job = world.accept(world.plainJob(1) { it.copy(estimateS = 60.0) })
         world.run(20_000, busy = false)
         val started = world.rules.started
         val leading = world.seats.first { it.controller?.reign() != null }
@@ -288,7 +270,7 @@
     fun `nodes back within a fraction of a second, twice in a row and all at once, start nothing twice`() {
         for (seed in 40L..44L) {
             val world = World(seed, quietNetwork = true)
-            val job = world.accept(world.plain(1) { it.copy(estimateS = 30.0) })
+            val job = world.accept(world.plainJob(1) { it.copy(estimateS = 30.0) })
             world.run(12_000, busy = false)
             repeat(4) {
                 world.seats.forEach { it.crash(world.random.nextLong(20, 300)) }
@@ -302,7 +284,7 @@
     @Test
     fun `a job is served by the other nodes while one is kept from the state service and all peers`() {
         val world = World(39, quietNetwork = true)
-        val job = world.accept(world.plain(1) { it.copy(estimateS = 90.0) })
+        val job = world.accept(world.plainJob(1) { it.copy(estimateS = 90.0) })
         world.run(10_000, busy = false)
         val follower = world.seats.first { it.controller?.reign() == null }
         follower.trouble.storeCutUntil = world.time.now + 60_000
@@ -319,7 +301,7 @@
     fun `a leader that has just begun does not take its own slow answers for deaf workers`() {
         // After a crash of all nodes a cold leader answered later than workers wait, and resigned: all began once more.
         val world = World(45, quietNetwork = true)
-        world.accept(world.plain(1) { it.copy(tasks = 16, cpus = 2.0, estimateS = 90.0, team = TeamId("free")) })
+        world.accept(world.plainJob(1) { it.copy(tasks = 16, cpus = 2.0, estimateS = 90.0, team = TeamId("free")) })
         world.run(20_000, busy = false)
         val former = world.seats.first { it.controller?.reign() != null }
         former.crash(60_000)
@@ -335,7 +317,7 @@
     fun `a machine that hung beyond its lease is used again and not returned`() {
         // Returned at once, a hundred hanging machines were rented anew, which takes a boot, a fetch and a minute's pay.
         val world = World(46, quietNetwork = true)
-        world.accept(world.plain(1) { it.copy(tasks = 8, estimateS = 90.0, team = TeamId("free")) })
+        world.accept(world.plainJob(1) { it.copy(tasks = 8, estimateS = 90.0, team = TeamId("free")) })
         world.run(20_000, busy = false)
         val hung = world.cloud.workers.first { it.busy }.apply { hangUntil = world.time.now + World.LEASE_MS + 3000 }
         world.run(World.LEASE_MS + 2500, busy = false)
@@ -351,12 +333,12 @@
     fun `commands are not sent to machines that are silent`() {
         // Each held a poster until its deadline, and with a part of the fleet cut all other commands waited behind them.
         val world = World(47, quietNetwork = true, perOffer = 30)
-        world.accept(world.plain(1) { it.copy(tasks = 120, estimateS = 30.0, team = TeamId("free"), spotAllowed = false) })
+        world.accept(world.plainJob(1) { it.copy(tasks = 120, estimateS = 30.0, team = TeamId("free"), spotAllowed = false) })
         world.run(30_000, busy = false)
         val cut = world.cloud.workers.filter { it.alive }.take(20).onEach { it.cutUntil = world.time.now + 60_000 }
         world.run(6500, busy = false)
         val before = world.ordersInVain
-        val id = world.accept(world.plain(2) { it.copy(tasks = 40, team = TeamId("free")) })
+        val id = world.accept(world.plainJob(2) { it.copy(tasks = 40, team = TeamId("free")) })
         world.run(4000, busy = false)
         world.cancel(id)
         world.run(2000, busy = false)
@@ -368,7 +350,7 @@
     fun `a node that stands still for leases in the middle of anything breaks no rule and loses no job`() {
         for (seed in 50L..61L) {
             val world = World(seed)
-            val jobs = (1..4).map { world.accept(world.plain(it) { spec -> spec.copy(estimateS = 12.0) }) }
+            val jobs = (1..4).map { world.accept(world.plainJob(it) { spec -> spec.copy(estimateS = 12.0) }) }
             repeat(5) {
                 val leading = world.seats.firstOrNull { it.controller?.reign() != null }
                 (leading ?: world.seats.first()).trouble.pauseAtNextCallMs = world.random.nextLong(200, 4 * World.LEASE_MS)
@@ -384,7 +366,7 @@
         for (seed in 70L..75L) {
             val world = World(seed, quietNetwork = true)
             val jobs = (1..6).map { number ->
-                world.accept(world.plain(number) { it.copy(estimateS = 10.0, zone = world.zones[number % 2]) })
+                world.accept(world.plainJob(number) { it.copy(estimateS = 10.0, zone = world.zones[number % 2]) })
             }
             world.run(12_000, busy = false)
             world.cutOff(world.zones[(seed % 2).toInt()], 4 * World.LEASE_MS)
@@ -396,7 +378,7 @@
     @Test
     fun `an attempt that was stopped is not forgotten, since its start may come once more`() {
         val world = World(48, quietNetwork = true)
-        val id = world.accept(world.plain(1) { it.copy(estimateS = 60.0) })
+        val id = world.accept(world.plainJob(1) { it.copy(estimateS = 60.0) })
         world.run(15_000, busy = false)
         val worker = world.cloud.workers.first { it.busy }
         val started = worker.report()
@@ -411,7 +393,7 @@
     @Test
     fun `small machines are rented where they cost no more`() {
         val world = World(49, quietNetwork = true)
-        world.accept(world.plain(1) { it.copy(tasks = 16, cpus = 1.0, memoryGb = 2.0) })
+        world.accept(world.plainJob(1) { it.copy(tasks = 16, cpus = 1.0, memoryGb = 2.0) })
         world.run(15_000, busy = false)
         assertEquals(setOf(TypeId("s")), world.cloud.workers.map { it.type.id }.toSet())
     }
--- a/src/test/kotlin/mountmast/standin/World.kt
+++ b/src/test/kotlin/mountmast/standin/World.kt
@@ -379,6 +379,25 @@
         )
     }
 
+    /** An array of four tasks that may run anywhere. */
+    fun plainJob(number: Int, change: (JobSpec) -> JobSpec = { it }) = job(number) { drawn ->
+        change(
+            drawn.copy(
+                team = TeamId("red"), shape = Shape.ARRAY, urgency = Urgency.NORMAL, tasks = 4, cpus = 2.0, memoryGb = 4.0, types = null,
+                zone = null, oneZone = false, spread = false, spotAllowed = true, estimateS = 3.0, checkpointEveryS = 0.0, saveS = 0.0,
+            ),
+        )
+    }
+
+    /** Submits [spec] until it is accepted. */
+    fun accept(spec: JobSpec): JobId {
+        repeat(50) {
+            if (submit(spec) in 200..201) return spec.id
+            run(1000, busy = false)
+        }
+        throw AssertionError("${spec.id} was never accepted")
+    }
+
     fun cancelServices() {
         for (id in accepted.filter { jobs.getValue(it).shape == Shape.SERVICE }) {
             while (cancel(id) != 200) run(2000, busy = false)
