--- a/src/main/kotlin/mountmast/coordination/Scheduler.kt
+++ b/src/main/kotlin/mountmast/coordination/Scheduler.kt
@@ -46,7 +46,8 @@
             for (job in open.filter { passedOver(it) }.sortedBy { it.submitted }) placePassedOver(job)
             for (job in open.sortedWith(order)) placeGuaranteed(job)
             for (job in open.sortedWith(urgentFirst.then(order))) placeBorrowed(job)
-            for (job in open.filter { overdue(it) }.sortedBy { it.submitted }) placeOverdue(job)
+            // Where neither a bound nor a failure holds tasks back, room has been looked for already.
+            for (job in open.filter { overdue(it) && isHeldBack(it) }.sortedBy { it.submitted }) placeOverdue(job)
             for ((job, machines) in chosen) starts(job, machines)
             return Plan(starts, evictions, holds, waiting, assurance)
         }
@@ -63,6 +64,8 @@
          */
         private fun passedOver(job: JobView) = overdue(job) && job.live == 0 && !job.poisoned
 
+        private fun isHeldBack(job: JobView) = snapshot.teams[job.spec.team]?.hasGuarantee == true || job.avoid.isNotEmpty()
+
         private fun overdue(job: JobView) = job.waitedS > PASSED_OVER_S && job.mayStart
 
         /**
