--- a/src/test/kotlin/mountmast/coordination/MeetingsTest.kt
+++ b/src/test/kotlin/mountmast/coordination/MeetingsTest.kt
@@ -212,6 +212,17 @@
         jobs.forEach { assertEquals(0, runningOf(it)) }
     }
 
+    @Test
+    fun `tasks that a cut-off leader keeps alive are not started again while it may still answer their workers`() =
+        meeting(change = { it.copy(tasks = 3, cpus = 1.0, memoryGb = 1.0, imageGb = 0.0, estimateS = 90.0) }) {
+            leading.trouble.storeCutUntil = world.time.now + 60_000
+            leading.trouble.peersCutUntil = world.time.now + 60_000
+            // The successor cannot call one worker away, which stays with the old leader for all of its grace; it has room elsewhere.
+            world.cloud.workers.first { it.busy }.calledByNobodyUntil = world.time.now + 60_000
+            world.run(60_000, busy = false)
+            world.expectDone(jobs, 200_000)
+        }
+
     @Test
     fun `workers that reach no controller get no more work, though direct commands reach them`() = meeting(jobs = 2) {
         val mute = world.cloud.workers.filter { it.busy }.onEach { it.muteUntil = world.time.now + 60_000 }
