--- a/src/test/kotlin/mountmast/coordination/JobReaderTest.kt
+++ b/src/test/kotlin/mountmast/coordination/JobReaderTest.kt
@@ -22,7 +22,7 @@
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
-import java.util.concurrent.CountDownLatch
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
 import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit
@@ -68,13 +68,13 @@
         jobs.forEach { reader.read(it.id) }
         asked.set(0)
         gated = true
-        val pool = Executors.newFixedThreadPool(jobs.size)
+        val threads = ConcurrentHashMap.newKeySet<Thread>()
+        val pool = Executors.newFixedThreadPool(jobs.size) { task -> Thread(task).also { threads += it } }
         val first = pool.submit<Boolean> { cancelled(jobs[0].id) }
         while (asked.get() == 0) Thread.sleep(1)
-        val begun = CountDownLatch(jobs.size - 1)
-        val rest = jobs.drop(1).map { job -> pool.submit<Boolean> { begun.countDown(); cancelled(job.id) } }
-        begun.await(10, TimeUnit.SECONDS)
-        Thread.sleep(50)
+        val rest = jobs.drop(1).map { job -> pool.submit<Boolean> { cancelled(job.id) } }
+        // The first waits for the store, all others for their answers.
+        while (threads.count { it.state == Thread.State.TIMED_WAITING } < jobs.size) Thread.sleep(1)
         // The first request is still under way: what changes now must be in every answer but perhaps the first.
         synchronized(inner) { put(5, true, checkNotNull(inner.get(Keys.job(jobs[5].id))).stamp) }
         gated = false
