The test world is split by what each part owns; each of its nodes has a version

World held the controllers, the network, the users, their checks and all failures. A node may run a model of the version in production: its store and its messages go through that version's frozen classes, and what it would misread fails the test.

--- a/src/test/kotlin/mountmast/coordination/CombinedFailuresTest.kt
+++ b/src/test/kotlin/mountmast/coordination/CombinedFailuresTest.kt
@@ -4,6 +4,7 @@
 import mountmast.protocol.JobSpec
 import mountmast.protocol.JobStatus
 import mountmast.protocol.TeamId
+import mountmast.standin.ControllerSeat
 import mountmast.standin.World
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -32,7 +33,7 @@
         fun runningOf(id: JobId) = world.rules.runningOf(id)
 
         /** The user of [id] asks [seat], and is told that it is cancelled. */
-        fun confirm(id: JobId, seat: World.Seat = others.first()) = assertEquals(200, world.cancel(id, seat))
+        fun confirm(id: JobId, seat: ControllerSeat = others.first()) = assertEquals(200, world.cancel(id, seat))
     }
 
     private fun World.longJob(number: Int, change: (JobSpec) -> JobSpec) =
@@ -83,7 +84,7 @@
         // Direct commands are held up for nine seconds, while reports and their answers go on.
         world.cloud.workers.filter { it.alive }.forEach { world.holdCommands(it, 9000) }
         val late = world.accept(world.longJob(90) { it.copy(tasks = 2, cpus = 1.0, memoryGb = 1.0, imageGb = 0.0) })
-        repeat(100) { if (world.heldCommands == 0) world.run(50, busy = false) }
+        repeat(100) { if (world.network.heldCommands == 0) world.run(50, busy = false) }
         confirm(late)
         // What answers to reports told before may be under way for a moment; nothing may begin after that.
         world.run(100, busy = false)
--- /dev/null
+++ b/src/test/kotlin/mountmast/standin/ControllerSeat.kt
@@ -0,0 +1,114 @@
+package mountmast.standin
+
+import mountmast.coordination.Controller
+import mountmast.coordination.FleetPolicy
+import mountmast.coordination.Policy
+import mountmast.protocol.Member
+import mountmast.protocol.NodeId
+import mountmast.protocol.Settings
+import java.net.InetSocketAddress
+import kotlin.random.Random
+
+/** One of the controllers of a [World], with the process that runs on it at the moment. */
+class ControllerSeat(private val world: World, val number: Int, var version: NodeVersion) {
+    val name = NodeId("node-$number")
+    val zone = world.zones[number % world.zones.size]
+    var trouble = Trouble(world.time)
+    var controller: Controller? = null
+    var downUntil = 0L
+
+    /** This node is elected, but gets no further. */
+    var loadsNothing = false
+    private var due = LongArray(STEPS)
+    private var starts = 0
+
+    /** Starts a new process. */
+    fun start() {
+        trouble.lossRate = if (world.quietNetwork) 0.0 else LOSS_RATE
+        trouble.repeats = !world.quietNetwork
+        val started = trouble
+        started.standStill = { ms -> standStill(started, ms) }
+        val drift = if (number == 0) DRIFT else 0.0
+        val store = world.store.View(world.random, trouble, Random(world.seed))
+        controller = Controller(
+            settings(), Policy(), FleetPolicy(idleReturnMs = IDLE_RETURN_MS), version.store(store), world.cloud.View(trouble),
+            world.network.workersOf(trouble), world.network.peersOf(this, trouble),
+            world.time.clock(drift, world.random.nextLong(-CLOCK_OFF_MS, CLOCK_OFF_MS)), "${world.seed}-$number-${starts++}",
+        )
+        due = LongArray(STEPS)
+    }
+
+    private fun settings() = Settings(
+        name, zone, local(1), local(2),
+        (0 until World.NODES).filter { it != number }.map { Member(NodeId("node-$it"), world.zones[it % world.zones.size], local(2)) },
+        local(3), local(4), world.teams, 20.0, World.REPORT_MS / 1000.0, World.LEASE_MS / 1000.0, World.CANCEL_MS / 1000.0,
+        version.limits(world.limits), 5.0, 3.0, 100,
+    )
+
+    private fun local(port: Int) = InetSocketAddress("127.0.0.1", port)
+
+    /** Does what is due by now. */
+    fun step() {
+        val running = controller
+        if (running == null) {
+            if (world.time.now >= downUntil) start()
+            return
+        }
+        if (trouble.stalled()) return
+        val steps = steps(running)
+        for (i in steps.indices.shuffled(world.random)) {
+            if (world.time.now < due[i]) continue
+            due[i] = world.time.now + steps[i].everyMs
+            if (!guarded { steps[i].act() }) return
+        }
+    }
+
+    private class Step(val everyMs: Long, val act: () -> Unit)
+
+    private fun steps(running: Controller): List<Step> = listOf(
+        Step(1000L) { running.lead() },
+        Step(100L) { if (!loadsNothing) running.load() },
+        Step(2000L) { running.greet() },
+        Step(300L) { running.pass() },
+        Step(100L) { running.write() },
+        Step(150L) { if (running.follow(0)) running.resolvePrerequisites() },
+        Step(1000L) { running.manageFleet() },
+        Step(100L) { while (running.post(0) || running.call()) Unit },
+    )
+
+    /** Runs part of this node; false where the process died in it. */
+    fun guarded(act: () -> Unit): Boolean {
+        val running = trouble
+        return try {
+            act()
+            true
+        } catch (e: NodeDied) {
+            // One that died while it stood still has been replaced by now.
+            if (trouble === running) crash(if (world.random.nextInt(3) == 0) 200L else RESTART_MS)
+            false
+        }
+    }
+
+    /** Everybody else goes on, while this process is in the middle of what it does; its clocks run on too. */
+    private fun standStill(process: Trouble, ms: Long) {
+        process.stalledUntil = world.time.now + ms
+        world.run(ms, busy = false)
+        if (trouble !== process) throw NodeDied()
+    }
+
+    /** Ends the process; another one starts after [downMs]. */
+    fun crash(downMs: Long) {
+        controller = null
+        downUntil = world.time.now + downMs
+        trouble = Trouble(world.time)
+    }
+
+    private companion object {
+        const val STEPS = 8
+        const val LOSS_RATE = 0.01
+        const val DRIFT = 0.0005
+        const val CLOCK_OFF_MS = 20L
+        const val IDLE_RETURN_MS = 8000L
+        const val RESTART_MS = 4000L
+    }
+}
--- a/src/test/kotlin/mountmast/standin/FallingLimits.kt
+++ b/src/test/kotlin/mountmast/standin/FallingLimits.kt
@@ -12,6 +12,9 @@
     isAnnounced: Boolean = true,
     val enforcesRates: Boolean = false,
 ) {
+    /** What a version keeps to that knows nothing of limits to come. */
+    val present: StateLimits get() = first
+
     /** What the nodes keep to. */
     val known: StateLimits = if (isAnnounced) first.lowerOf(next) else first
 
--- /dev/null
+++ b/src/test/kotlin/mountmast/standin/Network.kt
@@ -0,0 +1,180 @@
+package mountmast.standin
+
+import mountmast.protocol.Member
+import mountmast.protocol.Order
+import mountmast.protocol.OrdersMessage
+import mountmast.protocol.PeerHello
+import mountmast.protocol.RelayAnswer
+import mountmast.protocol.RelayRequest
+import mountmast.protocol.TaskId
+import mountmast.protocol.Verb
+import mountmast.protocol.WorkerReport
+import mountmast.protocol.Zone
+import mountmast.transport.HeartbeatOutcome
+import mountmast.transport.OrdersOutcome
+import mountmast.transport.Peers
+import mountmast.transport.Workers
+
+/** What connects the controllers of a [World] with its workers and with one another. */
+class Network(private val world: World) {
+    private val time get() = world.time
+    private val random get() = world.random
+    private var cutZone: Zone? = null
+    private var cutZoneUntil = 0L
+
+    /** Whether a report that does not get through may be held up and arrive late. */
+    var holdsReports = true
+
+    /** Commands sent to workers so far, how many of them to workers that nobody reaches, and how many were held up. */
+    var ordersSent = 0
+        private set
+    var ordersInVain = 0
+        private set
+    var heldCommands = 0
+        private set
+
+    /** Cuts [zone] off from all else; it goes on inside. */
+    fun cutOff(zone: Zone, ms: Long) {
+        cutZone = zone
+        cutZoneUntil = time.now + ms
+        world.seats.filter { it.zone == zone }.forEach { it.trouble.storeCutUntil = maxOf(it.trouble.storeCutUntil, cutZoneUntil) }
+    }
+
+    private fun areApart(one: Zone, other: Zone) = time.now < cutZoneUntil && (one == cutZone) != (other == cutZone)
+
+    private fun isUnreachable(worker: StandInWorker, trouble: Trouble) = worker.cut ||
+        trouble.cutFromWorkers() ||
+        world.seats.any { it.trouble === trouble && areApart(it.zone, worker.zone) }
+
+    /** The workers as the process that [trouble] ails reaches them. */
+    fun workersOf(trouble: Trouble) = Workers { address, message -> order(trouble, address, message) }
+
+    private fun order(trouble: Trouble, address: String, message: OrdersMessage): OrdersOutcome {
+        noteStarts(message.orders)
+        trouble.mayStrike(random)
+        ordersSent++
+        val worker = world.cloud.workers.firstOrNull { it.address == address && it.alive } ?: return OrdersOutcome.Unknown
+        if (time.now < worker.calledByNobodyUntil) return OrdersOutcome.NotSent
+        if (time.now < worker.commandsHeldUntil) {
+            heldCommands++
+            time.later(worker.commandsHeldMs) { if (worker.alive) execute(worker, message) }
+            return OrdersOutcome.Unknown
+        }
+        val isLost = isUnreachable(worker, trouble) ||
+            worker.deaf ||
+            worker.hanging ||
+            trouble.sendsNothing() ||
+            random.nextDouble() < trouble.lossRate
+        if (isLost) return lose(worker, message)
+        trouble.mayRepeat(random) { if (worker.alive) execute(worker, message) }
+        return execute(worker, message).also { trouble.mayStrike(random) }
+    }
+
+    private fun execute(worker: StandInWorker, message: OrdersMessage): OrdersOutcome =
+        if (worker.ordered(message.term, message.session, message.orders)) {
+            OrdersOutcome.Executed(worker.report())
+        } else {
+            OrdersOutcome.Rejected(worker.report())
+        }
+
+    private fun lose(worker: StandInWorker, message: OrdersMessage): OrdersOutcome {
+        ordersInVain++
+        if (random.nextInt(4) == 0) return OrdersOutcome.NotSent
+        if (random.nextBoolean()) time.later(random.nextLong(100, 60_000)) { if (worker.alive) execute(worker, message) }
+        return OrdersOutcome.Unknown
+    }
+
+    private fun noteStarts(orders: List<Order>) {
+        for (order in orders) if (order.verb == Verb.START) TaskId.parse(order.task)?.let { world.rules.startCommanded(it.job, time.now) }
+    }
+
+    /** The other controllers as the process that [trouble] ails reaches them. */
+    fun peersOf(seat: ControllerSeat, trouble: Trouble) = object : Peers {
+        private fun reach(to: Member) = world.seats.first { it.name == to.node }.takeIf {
+            !areApart(it.zone, seat.zone) &&
+                !trouble.stalled() &&
+                !it.trouble.stalled() &&
+                !trouble.cutFromPeers() &&
+                !it.trouble.cutFromPeers()
+        }
+
+        override fun hello(to: Member, hello: PeerHello): PeerHello? {
+            val peer = reach(to) ?: return null
+            val answer = peer.controller?.hello(asTold(hello, seat, peer)) ?: return null
+            return asTold(answer, peer, seat)
+        }
+
+        private fun asTold(hello: PeerHello, from: ControllerSeat, to: ControllerSeat): PeerHello {
+            val told = to.version.hello(from.version.hello(hello))
+            return if (world.agreesOnForms) told else told.copy(formatVersion = 0)
+        }
+
+        override fun relay(to: Member, request: RelayRequest): RelayAnswer? {
+            val peer = reach(to) ?: return null
+            val users = peer.controller?.users ?: return null
+            val read = peer.version.relayRequest(seat.version.relayRequest(request))
+            val id = read.path.removePrefix("/v1/jobs/").removeSuffix("/cancel")
+            val answer = when {
+                read.path == "/v1/jobs" -> users.submit(read.body, relayed = true)
+                read.method == "POST" -> users.cancel(id, relayed = true)
+                else -> users.status(id, relayed = true)
+            }
+            return seat.version.relayAnswer(peer.version.relayAnswer(RelayAnswer(answer.status, answer.body, answer.retryAfterS)))
+        }
+    }
+
+    /** Has [worker] report, if that is due. */
+    fun heartbeat(worker: StandInWorker) {
+        if (!worker.alive || worker.hanging || time.now < worker.nextReportAt) return
+        worker.nextReportAt = time.now + World.REPORT_MS * random.nextLong(75, 125) / 100
+        val report = worker.report()
+        if (!world.quietNetwork && random.nextInt(15) == 0) copyLate(report)
+        val seat = world.seats[worker.target]
+        val controller = seat.controller
+        if (controller == null ||
+            worker.mute ||
+            seat.trouble.stalled() ||
+            isUnreachable(worker, seat.trouble) ||
+            random.nextDouble() < seat.trouble.lossRate
+        ) {
+            return tryNext(worker, report)
+        }
+        val sentAt = time.now
+        seat.guarded { answered(worker, seat, report, sentAt, controller.heartbeat(report)) }
+    }
+
+    /** A copy comes late, from seconds to well over a lease, at any node, whatever became of the machine. */
+    private fun copyLate(report: WorkerReport) {
+        val seat = world.seats.random(random)
+        time.later(random.nextLong(1000, 40_000)) { seat.controller?.let { late -> seat.guarded { late.heartbeat(report) } } }
+    }
+
+    private fun tryNext(worker: StandInWorker, report: WorkerReport) {
+        // A cut may hold a report and deliver it long after its worker has given up on it.
+        if (random.nextInt(3) == 0 && holdsReports) {
+            time.later(random.nextLong(500, 40_000)) {
+                world.seats[worker.target].controller?.let { late -> world.seats[worker.target].guarded { late.heartbeat(report) } }
+            }
+        }
+        worker.target = (worker.target + 1) % world.seats.size
+    }
+
+    private fun answered(worker: StandInWorker, seat: ControllerSeat, report: WorkerReport, sentAt: Long, outcome: HeartbeatOutcome) {
+        val isAnswerLost = worker.deaf || seat.trouble.sendsNothing()
+        when (outcome) {
+            is HeartbeatOutcome.Accepted -> {
+                noteStarts(outcome.answer.orders)
+                val delay = if (world.quietNetwork) 0L else random.nextLong(0, 60)
+                if (isAnswerLost) {
+                    worker.target = (worker.target + 1) % world.seats.size
+                } else if (random.nextDouble() >= seat.trouble.lossRate) {
+                    time.later(delay) { worker.answered(outcome.answer.term, outcome.answer.orders, sentAt, report.session) }
+                }
+            }
+            is HeartbeatOutcome.Elsewhere -> {
+                val next = if (isAnswerLost) -1 else world.seats.indexOfFirst { it.name == outcome.node }
+                worker.target = if (next < 0 || next == worker.target) (worker.target + 1) % world.seats.size else next
+            }
+        }
+    }
+}
