A job that looks for room looks at groups of machines, not at each machine

A pass scanned every machine for every waiting job, and made a view of every machine each time. Machines are grouped now by kind and free room, and within a group by image; views and groups are kept from pass to pass and made anew only for machines that changed. A job scores groups; the machines of a group are looked at as far as they are needed. Machines reserved for a job are found by the job. The machine chosen is the same as before; of machines that score alike it is the one with the lowest id, where it was whichever the heap had on top. A test compares with a scan of all machines on 300 random fleets.

--- a/src/main/kotlin/mountmast/coordination/Machine.kt
+++ b/src/main/kotlin/mountmast/coordination/Machine.kt
@@ -66,8 +66,16 @@
     /** Every assignment not yet released, by the task's name as the worker writes it. */
     val live = LinkedHashMap<String, Assignment>()
 
+    /** Rises with each change of what the scheduler sees of the machine, whether it may be used apart. */
+    var changes = 0
+        private set
+
     /** What [live] takes, kept as it changes: a pass must not add up every task of every machine. */
     var used = Resources.NONE
+        set(value) {
+            field = value
+            changes++
+        }
 
     /** Images that were used here, least recently used first. A guess: the worker does not report its cache. */
     val images = LinkedHashMap<ImageId, Double>()
@@ -105,6 +113,10 @@
 
     /** The job that this machine is being emptied for. */
     var reservedFor: JobId? = null
+        set(value) {
+            field = value
+            changes++
+        }
     var reservedUntil = MonotonicTime(0)
 
     /** Failures of tasks here, without a completion in between. */
@@ -132,9 +144,11 @@
     /** Takes over what an earlier leader thought this machine to hold. */
     fun recallImages(known: Map<ImageId, Double>) {
         for ((image, sizeGb) in known) images.putIfAbsent(image, sizeGb)
+        changes++
     }
 
     fun touchImage(image: ImageId, sizeGb: Double, cacheGb: Double) {
+        changes++
         images.remove(image)
         images[image] = sizeGb
         var used = images.values.sum()
--- a/src/main/kotlin/mountmast/coordination/MachineReservations.kt
+++ b/src/main/kotlin/mountmast/coordination/MachineReservations.kt
@@ -6,7 +6,6 @@
  */
 class MachineReservations(private val snapshot: Snapshot, private val placement: Placement) {
     private val smallestOpenCpus = snapshot.jobs.filter { it.openCount > 0 }.minOfOrNull { it.spec.cpus } ?: 0.0
-    private var reservedCount = snapshot.machines.count { it.reservedFor != null }
     private var jobCount = 0
     private val planned = ArrayList<MachineReservation>()
 
@@ -19,26 +18,28 @@
     fun reserveFor(job: JobView, blocked: Int) {
         if (job.spec.cpus <= smallestOpenCpus) return
         var left = blocked - placement.reservedCapacity(job, blocked)
-        val mostMachines = (snapshot.machines.size * MAX_RESERVED_SHARE).toInt() - reservedCount
+        val mostMachines = (snapshot.machines.size * MAX_RESERVED_SHARE).toInt() - snapshot.index.reservedCount
         if (left <= 0 || mostMachines <= 0) return
         jobCount++
         for (machine in soonestFor(job, mostMachines)) {
             if (left <= 0) break
-            machine.reservedFor = job.spec.id
+            snapshot.index.reserve(machine, job.spec.id)
             planned += MachineReservation(machine.id, job.spec.id)
-            reservedCount++
             left -= job.spec.perTask.timesIn(machine.type.capacity, left)
         }
     }
 
     /** Up to [most] machines that have room for a task of [job] within the horizon, the soonest first. */
-    private fun soonestFor(job: JobView, most: Int): List<MachineView> = snapshot.machines
-        .filter { it.reservedFor == null && placement.canServe(it, job) }
-        .map { TimedMachine(it, roomInS(job, it)) }
-        .filter { it.roomInS <= HORIZON_S }
-        .sortedBy { it.roomInS }
-        .take(most)
-        .map { it.machine }
+    private fun soonestFor(job: JobView, most: Int): List<MachineView> {
+        val canServe = placement.servingMachines(job)
+        return snapshot.machines
+            .filter { it.reservedFor == null && canServe(it) }
+            .map { TimedMachine(it, roomInS(job, it)) }
+            .filter { it.roomInS <= HORIZON_S }
+            .sortedBy { it.roomInS }
+            .take(most)
+            .map { it.machine }
+    }
 
     private class TimedMachine(val machine: MachineView, val roomInS: Double)
 
--- a/src/main/kotlin/mountmast/coordination/Placement.kt
+++ b/src/main/kotlin/mountmast/coordination/Placement.kt
@@ -2,10 +2,10 @@
 
 import mountmast.protocol.JobId
 import mountmast.protocol.MachineId
+import mountmast.protocol.MachineType
 import mountmast.protocol.Resources
 import mountmast.protocol.TeamId
 import mountmast.protocol.Zone
-import java.util.PriorityQueue
 
 /** The starts of one pass, and the room, use and zones that they leave. Not thread-safe. */
 class Placement(private val snapshot: Snapshot, private val policy: Policy, private val priorities: JobPriorities) {
@@ -36,17 +36,16 @@
     fun place(job: JobView, wanted: Int, isWithinBound: (Resources) -> Boolean): Int {
         val allowed = allowedCount(job, wanted, isWithinBound)
         if (allowed == 0) return 0
-        val candidates = candidates(job)
+        val candidates = candidates(job) ?: return allowed
         var placed = 0
         while (placed < allowed) {
             if (startedCount >= policy.startsPerPass) return 0
-            val machine = candidates.poll()?.machine ?: break
+            val machine = candidates.poll() ?: break
             // Each start changes the room, and may fill the zone's share.
-            if (fits(job, machine)) {
-                start(job, machine)
-                placed++
-                if (fits(job, machine)) candidates += Candidate(machine, score(job, machine))
-            }
+            if (!fits(job, machine)) continue
+            start(job, machine)
+            placed++
+            if (fits(job, machine)) candidates.putBack(machine) else candidates.filled(machine)
         }
         return allowed - placed
     }
@@ -74,68 +73,82 @@
         chosen.getOrPut(job) { ArrayList() } += machine.id
         startedCount++
         startedOn += machine.id
-        machine.room -= spec.perTask
+        snapshot.index.changeRoom(machine, machine.room - spec.perTask)
         uses.merge(spec.team, spec.perTask) { a, b -> a + b }
         if (spec.oneZone || spec.spread) zonesOf(job).merge(machine.zone, 1, Int::plus)
     }
 
     private fun zonesOf(job: JobView) = tasksPerZone.getOrPut(job.spec.id) { HashMap(job.perZone) }
 
-    private class Candidate(val machine: MachineView, val score: Double) : Comparable<Candidate> {
-        override fun compareTo(other: Candidate) = score.compareTo(other.score)
-    }
-
-    /** Machines with room for a task of [job], the best first: scored once, not again for each task. */
-    private fun candidates(job: JobView): PriorityQueue<Candidate> {
-        val found = PriorityQueue<Candidate>()
-        val home = if (job.spec.oneZone) homeZone(job) ?: return found else null
-        for (machine in snapshot.machines) {
-            if (home != null && machine.zone != home) continue
-            if (fits(job, machine)) found += Candidate(machine, score(job, machine))
-        }
-        return found
+    /** Machines with room for a task of [job], the best first; null where it has to be in one zone, and none can take it. */
+    private fun candidates(job: JobView): PlacementCandidates? {
+        val home = if (job.spec.oneZone) homeZone(job) ?: return null else null
+        val groups = snapshot.index.groups.filter { (home == null || it.zone == home) && isKindAllowed(job, it.type, it.zone, it.spot) }
+        return PlacementCandidates(job, groups, { group, holdsImage -> score(job, group, holdsImage) }) { isAllowed(job, it) }
     }
 
     private fun fits(job: JobView, machine: MachineView) = job.spec.perTask.fitsIn(machine.room) && isAllowed(job, machine)
 
     /** Lower is better: first machines that hold the image, then those that would be left with the least room. */
-    private fun score(job: JobView, machine: MachineView): Double {
+    private fun score(job: JobView, group: MachineGroup, holdsImage: Boolean): Double {
         val spec = job.spec
-        val fetchS = if (spec.image in machine.images) 0.0 else spec.imageGb / machine.type.fetchGbPerS
-        val room = machine.room - spec.perTask
-        val leftover = maxOf(room.cpus / machine.type.cpus, room.memoryGb / machine.type.memoryGb)
+        val type = group.type
+        val fetchS = if (holdsImage) 0.0 else spec.imageGb / type.fetchGbPerS
+        val room = group.room - spec.perTask
+        val leftover = maxOf(room.cpus / type.cpus, room.memoryGb / type.memoryGb)
         // Work that can be done again in time goes to cheap machines, so that dear ones fall idle and are returned.
         val isPatient = job.slackS > PATIENT_S
-        val isWrongKind = if (isPatient) !machine.spot && spec.spotAllowed else machine.spot && spec.checkpointEveryS <= 0
+        val isWrongKind = if (isPatient) !group.spot && spec.spotAllowed else group.spot && spec.checkpointEveryS <= 0
         return fetchS + leftover + (if (isWrongKind) WRONG_KIND_PENALTY else 0.0)
     }
 
     /** Whether tasks of [job] may run on [machine], apart from room. */
-    fun isAllowed(job: JobView, machine: MachineView): Boolean {
+    private fun isAllowed(job: JobView, machine: MachineView): Boolean =
+        isKindAllowed(job, machine.type, machine.zone, machine.spot) && isMachineAllowed(job, machine) && isShareLeft(job, machine.zone)
+
+    private fun isKindAllowed(job: JobView, type: MachineType, zone: Zone, spot: Boolean): Boolean {
         val spec = job.spec
-        val isReservedForOther = machine.reservedFor != null && machine.reservedFor != spec.id
-        return (!isReservedForOther || ignoresReservations) &&
-            (spec.spotAllowed || !machine.spot) &&
-            (spec.types == null || machine.type.id in spec.types) &&
-            (spec.zone == null || machine.zone == spec.zone) &&
-            (machine.id !in job.avoid || priorities.isOverdue(job)) &&
-            (!spec.spread || (zonesOf(job)[machine.zone] ?: 0) < spec.perZoneLimit)
+        return (spec.spotAllowed || !spot) &&
+            (spec.types == null || type.id in spec.types) &&
+            (spec.zone == null || zone == spec.zone)
+    }
+
+    private fun isMachineAllowed(job: JobView, machine: MachineView): Boolean {
+        val isReservedForOther = machine.reservedFor != null && machine.reservedFor != job.spec.id
+        return (!isReservedForOther || ignoresReservations) && (machine.id !in job.avoid || priorities.isOverdue(job))
     }
 
-    /** Whether a machine of its kind, once it is empty, takes a task of [job]. */
-    fun canServe(machine: MachineView, job: JobView): Boolean = job.spec.perTask.fitsIn(machine.type.capacity) &&
-        isAllowed(job, machine) &&
-        (!job.spec.oneZone || homeZone(job) == machine.zone)
+    private fun isShareLeft(job: JobView, zone: Zone) = !job.spec.spread || (zonesOf(job)[zone] ?: 0) < job.spec.perZoneLimit
+
+    /** Tells whether a machine, once it is empty, takes a task of [job]. */
+    fun servingMachines(job: JobView): (MachineView) -> Boolean {
+        val home = if (job.spec.oneZone) homeZone(job) else null
+        return { machine ->
+            job.spec.perTask.fitsIn(machine.type.capacity) && isAllowed(job, machine) && (!job.spec.oneZone || home == machine.zone)
+        }
+    }
 
     /** How many of [wanted] tasks of [job] the machines reserved for it take once they are empty. */
-    fun reservedCapacity(job: JobView, wanted: Int): Int = snapshot.machines.filter { it.reservedFor == job.spec.id }
-        .sumOf { job.spec.perTask.timesIn(it.type.capacity, wanted) }
+    fun reservedCapacity(job: JobView, wanted: Int): Int =
+        snapshot.index.reservedFor(job.spec.id).sumOf { job.spec.perTask.timesIn(it.type.capacity, wanted) }
 
-    /** The zone of the job's tasks, or the one with most room for them. */
+    /** The zone of the job's tasks, or the one with most room for them, of equals the first by name. */
     private fun homeZone(job: JobView): Zone? {
         zonesOf(job).entries.firstOrNull { it.value > 0 }?.let { return it.key }
-        return snapshot.machines.filter { isAllowed(job, it) }.groupBy { it.zone }
-            .maxByOrNull { (_, machines) -> machines.sumOf { job.spec.perTask.timesIn(it.room, job.openCount) } }?.key
+        val excluded = excludedMachines(job)
+        val roomByZone = HashMap<Zone, Int>()
+        for (group in snapshot.index.groups) {
+            val usable = group.size - (excluded[group] ?: 0)
+            if (usable == 0 || !isKindAllowed(job, group.type, group.zone, group.spot) || !isShareLeft(job, group.zone)) continue
+            roomByZone.merge(group.zone, usable * job.spec.perTask.timesIn(group.room, job.openCount), Int::plus)
+        }
+        return roomByZone.entries.maxWithOrNull(compareBy<Map.Entry<Zone, Int>> { it.value }.thenByDescending { it.key.text })?.key
+    }
+
+    /** How many machines of each group [job] may not use for what concerns the machine itself. */
+    private fun excludedMachines(job: JobView): Map<MachineGroup, Int> {
+        val candidates = snapshot.index.reservedMachines + job.avoid.asSequence().mapNotNull(snapshot::machine)
+        return candidates.distinct().filter { !isMachineAllowed(job, it) }.mapNotNull { it.group }.groupingBy { it }.eachCount()
     }
 
     private companion object {
--- a/src/main/kotlin/mountmast/coordination/SchedulingSnapshots.kt
+++ b/src/main/kotlin/mountmast/coordination/SchedulingSnapshots.kt
@@ -1,11 +1,14 @@
 package mountmast.coordination
 
 import mountmast.protocol.Clock
+import mountmast.protocol.MachineId
+import mountmast.protocol.MachineType
 import mountmast.protocol.MonotonicTime
 import mountmast.protocol.TaskId
 import mountmast.protocol.TeamId
 import mountmast.protocol.TeamQuota
 import mountmast.protocol.WallTime
+import mountmast.protocol.Zone
 
 /**
  * Turns the ledger into what the scheduler decides on. A job that waits for others is left out: it is no demand yet.
@@ -18,29 +21,74 @@
     private val timing: Timing,
     private val clock: Clock,
 ) {
+    /** A machine's view, and what it was made from. */
+    private class KeptView(val machine: Machine, val changes: Int, val view: MachineView) {
+        /** The pass that used it last. */
+        var usedInPass = 0L
+
+        fun isCurrent(machine: Machine, type: MachineType) =
+            this.machine === machine && changes == machine.changes && view.type === type && !view.isPlanned
+    }
+
+    private val keptViews = LinkedHashMap<MachineId, KeptView>()
+    private val index = MachineIndex()
+    private var passes = 0L
+
     /** What a pass decides on; [assurance] holds the smoothed degrees of the pass before. */
     fun take(now: MonotonicTime, assurance: Map<TeamId, Double>): Snapshot {
+        val machines = usableMachines(now)
+        val jobs = ArrayList<JobView>(ledger.jobs.size)
+        // What waits for other jobs is no demand yet, whatever it has been promised.
+        dependencies.refreshClaims()
+        for (job in ledger.jobs.values) if (!job.cancelled && job.isReleased) jobs += view(job, now)
+        return Snapshot(machines, jobs, teams.keys.associateWith { ledger.use(it) }, teams, assurance, index)
+    }
+
+    /** Looks at each machine once; only those that changed since the pass before are grouped anew. */
+    private fun usableMachines(now: MonotonicTime): List<MachineView> {
+        passes++
         val machines = ArrayList<MachineView>(ledger.machines.size)
         for (machine in ledger.machines.values) {
             // Whoever reaches no controller loses its tasks with its lease, although direct commands may still reach it.
             if (!machine.usable(now) || now - machine.reportedAt > timing.quietMs) continue
-            val type = ledger.types[machine.type] ?: continue
-            val zone = machine.zone ?: continue
-            machines += MachineView(
-                machine.id,
-                type,
-                zone,
-                machine.spot,
-                type.capacity - machine.used,
-                machine.images.keys,
-                machine.reservedFor,
-            ) { machine.live.values.map { resident(it, now) } }
+            machines += currentView(machine) ?: continue
+        }
+        if (keptViews.size > machines.size) dropUnused()
+        return machines
+    }
+
+    private fun currentView(machine: Machine): MachineView? {
+        val type = ledger.types[machine.type] ?: return null
+        val zone = machine.zone ?: return null
+        var kept = keptViews[machine.id]
+        if (kept == null || !kept.isCurrent(machine, type)) {
+            kept?.let { index.remove(it.view) }
+            kept = KeptView(machine, machine.changes, view(machine, type, zone))
+            keptViews[machine.id] = kept
+            index.add(kept.view)
+        } else {
+            kept.view.forgetResidents()
+        }
+        kept.usedInPass = passes
+        return kept.view
+    }
+
+    private fun view(machine: Machine, type: MachineType, zone: Zone): MachineView {
+        val images = HashSet(machine.images.keys)
+        return MachineView(machine.id, type, zone, machine.spot, type.capacity - machine.used, images, machine.reservedFor) {
+            val now = clock.now()
+            machine.live.values.map { resident(it, now) }
+        }
+    }
+
+    private fun dropUnused() {
+        val views = keptViews.values.iterator()
+        while (views.hasNext()) {
+            val kept = views.next()
+            if (kept.usedInPass == passes) continue
+            index.remove(kept.view)
+            views.remove()
         }
-        val jobs = ArrayList<JobView>(ledger.jobs.size)
-        // What waits for other jobs is no demand yet, whatever it has been promised.
-        dependencies.refreshClaims()
-        for (job in ledger.jobs.values) if (!job.cancelled && job.isReleased) jobs += view(job, now)
-        return Snapshot(machines, jobs, teams.keys.associateWith { ledger.use(it) }, teams, assurance)
     }
 
     /** How long a task will still run, as far as its estimate tells, in seconds. */
--- a/src/main/kotlin/mountmast/coordination/SchedulingView.kt
+++ b/src/main/kotlin/mountmast/coordination/SchedulingView.kt
@@ -48,19 +48,56 @@
     val urgency: Urgency get() = spec.urgency
 }
 
-/** A machine that can take tasks, as the scheduler sees it. */
+/** A machine that can take tasks, as the scheduler sees it. [MachineIndex] alone changes it. */
 class MachineView(
     val id: MachineId,
     val type: MachineType,
     val zone: Zone,
     val spot: Boolean,
-    var room: Resources,
+    room: Resources,
     val images: Set<ImageId>,
-    var reservedFor: JobId?,
-    residents: () -> List<Resident>,
+    reservedFor: JobId?,
+    private val findResidents: () -> List<Resident>,
 ) {
+    /** Rounded, so that machines with the same tasks have the same room whatever came and went before. */
+    var room: Resources = room.rounded()
+        private set
+
+    /** The job that it is kept or emptied for. */
+    var reservedFor: JobId? = reservedFor
+        private set
+
+    /** The group that it is in now. */
+    var group: MachineGroup? = null
+        internal set
+
+    /** Whether a plan has changed it: what is kept for the next pass has to be made anew. */
+    var isPlanned = false
+        private set
+    private var knownResidents: List<Resident>? = null
+
     /** Made only when asked for: most passes place tasks without looking at what runs. */
-    val residents: List<Resident> by lazy(LazyThreadSafetyMode.NONE, residents)
+    val residents: List<Resident> get() = knownResidents ?: findResidents().also { knownResidents = it }
+
+    /** A new pass begins, in which the remaining times are others. */
+    fun forgetResidents() {
+        knownResidents = null
+    }
+
+    internal fun changeRoom(room: Resources) {
+        this.room = room.rounded()
+        isPlanned = true
+    }
+
+    internal fun reserveFor(job: JobId) {
+        reservedFor = job
+        isPlanned = true
+    }
+
+    companion object {
+        /** In the order in which the cloud names machines. */
+        val BY_ID: Comparator<MachineView> = Comparator { one, other -> one.id.text.compareTo(other.id.text) }
+    }
 }
 
 /** A job with tasks to place or on machines, as the scheduler sees it. */
@@ -94,7 +131,14 @@
     val teams: Map<TeamId, TeamQuota>,
     /** Smoothed degrees of the pass before; empty in a leader's first pass. */
     val assurance: Map<TeamId, Double>,
-)
+    /** The same machines, grouped. */
+    val index: MachineIndex = MachineIndex.of(machines),
+) {
+    private val machinesById by lazy(LazyThreadSafetyMode.NONE) { machines.associateBy { it.id } }
+
+    /** The machine of this name, if it can take tasks. */
+    fun machine(id: MachineId): MachineView? = machinesById[id]
+}
 
 data class Start(val job: JobId, val index: Int, val machine: MachineId)
 
--- a/src/main/kotlin/mountmast/protocol/Ids.kt
+++ b/src/main/kotlin/mountmast/protocol/Ids.kt
@@ -212,6 +212,11 @@
 
     operator fun times(count: Int) = Resources(cpus * count, gpus * count, memoryGb * count)
 
+    /** To a millionth, so that sums in another order are the same. */
+    fun rounded() = Resources(rounded(cpus), rounded(gpus), rounded(memoryGb))
+
+    private fun rounded(amount: Double) = Math.rint(amount * ROUNDED_STEPS) / ROUNDED_STEPS
+
     fun fitsIn(room: Resources) = cpus <= room.cpus + EPSILON && gpus <= room.gpus + EPSILON && memoryGb <= room.memoryGb + EPSILON
 
     /** How many times this fits into [room], at most [most]. */
@@ -225,6 +230,7 @@
 
     companion object {
         const val EPSILON = 1e-6
+        private const val ROUNDED_STEPS = 1e6
         val NONE = Resources(0.0, 0.0, 0.0)
     }
 }
--- /dev/null
+++ b/src/test/kotlin/mountmast/coordination/PlacementTest.kt
@@ -0,0 +1,183 @@
+package mountmast.coordination
+
+import mountmast.protocol.ImageId
+import mountmast.protocol.JobId
+import mountmast.protocol.JobSpec
+import mountmast.protocol.MachineId
+import mountmast.protocol.MachineType
+import mountmast.protocol.Resources
+import mountmast.protocol.Shape
+import mountmast.protocol.TeamId
+import mountmast.protocol.TeamQuota
+import mountmast.protocol.TypeId
+import mountmast.protocol.Urgency
+import mountmast.protocol.WallTime
+import mountmast.protocol.Zone
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+/** The machines that are chosen by groups are those that a look at every machine for every task would choose. */
+class PlacementTest {
+    private val zones = listOf(Zone("a"), Zone("b"), Zone("c"))
+    private val types = listOf(
+        MachineType(TypeId("s"), 4.0, 0.0, 16.0, 20.0, 1.0, 0.3, 0.1, 25.0, zones),
+        MachineType(TypeId("m"), 16.0, 0.0, 128.0, 50.0, 0.5, 1.0, 0.3, 30.0, zones),
+        MachineType(TypeId("g"), 32.0, 4.0, 256.0, 50.0, 0.3, 4.0, 1.5, 50.0, zones),
+    )
+    private val team = TeamQuota(TeamId("t"), 0.0, 0.0, 0.0, 0.0)
+    private val teams = mapOf(team.id to team)
+
+    private fun machine(random: Random, number: Int): MachineView {
+        val type = types.random(random)
+        val used = random.nextInt(0, 5) / 4.0
+        val room = Resources(type.cpus * (1 - used), type.gpus * (1 - used), type.memoryGb * (1 - used * random.nextInt(1, 3) / 2))
+        val images = (1..6).filter { random.nextInt(3) == 0 }.mapTo(HashSet()) { ImageId("i$it") }
+        val reservedFor = if (random.nextInt(12) == 0) JobId("j-${random.nextInt(1, 12)}") else null
+        return MachineView(
+            MachineId("vm-" + number.toString().padStart(6, '0')),
+            type,
+            zones.random(random),
+            random.nextBoolean(),
+            room,
+            images,
+            reservedFor,
+        ) { emptyList() }
+    }
+
+    private fun job(random: Random, number: Int, fleet: List<MachineView>): JobView {
+        val tasks = random.nextInt(1, 60)
+        val cpus = listOf(0.5, 1.0, 2.0, 4.0, 8.0).random(random)
+        val spec = JobSpec(
+            JobId("j-$number"), "c", team.id, Shape.ARRAY, Urgency.entries.random(random), tasks, cpus,
+            if (random.nextInt(8) == 0) 1.0 else 0.0, cpus * random.nextInt(1, 6), ImageId("i${random.nextInt(1, 8)}"), 2.0,
+            if (random.nextInt(4) == 0) types.shuffled(random).take(2).map { it.id } else null,
+            if (random.nextInt(5) == 0) zones.random(random) else null, oneZone = random.nextInt(5) == 0,
+            spread = random.nextInt(5) == 0, spotAllowed = random.nextInt(3) != 0, estimateS = 50.0,
+            checkpointEveryS = if (random.nextBoolean()) 20.0 else 0.0, saveS = 1.0,
+        )
+        val avoid = if (random.nextInt(3) == 0) fleet.shuffled(random).take(5).mapTo(HashSet()) { it.id } else emptySet()
+        val perZone = if (random.nextInt(3) == 0) mapOf(zones.random(random) to random.nextInt(1, 4)) else emptyMap()
+        val waitedS = if (random.nextInt(6) == 0) 90.0 else 5.0
+        return JobView(
+            spec, WallTime(number.toLong()), tasks, tasks, perZone.values.sum(), perZone, 50.0, avoid, poisoned = false, mayStart = true,
+            slackS = random.nextDouble(0.0, 400.0), waitedS = waitedS,
+        ) { count -> IntArray(count) { it } }
+    }
+
+    /** The same by looking at each machine for each task. */
+    private class Scan(private val machines: List<MachineView>) {
+        private val room = machines.associateWithTo(HashMap()) { it.room }
+        val starts = ArrayList<Pair<JobId, MachineId>>()
+
+        fun place(job: JobView) {
+            val spec = job.spec
+            val perZone = HashMap(job.perZone)
+            val home = if (spec.oneZone) perZone.entries.firstOrNull { it.value > 0 }?.key ?: widestZone(job) ?: return else null
+            repeat(job.openCount) {
+                val best = machines.filter { (home == null || it.zone == home) && fits(job, it, perZone) }
+                    .minWithOrNull(compareBy<MachineView> { score(job, it) }.thenBy { it.id.text }) ?: return
+                room[best] = (room.getValue(best) - spec.perTask).rounded()
+                perZone.merge(best.zone, 1, Int::plus)
+                starts += spec.id to best.id
+            }
+        }
+
+        private fun widestZone(job: JobView): Zone? = machines.filter { isAllowed(job, it, emptyMap()) }.groupBy { it.zone }
+            .mapValues { (_, all) -> all.sumOf { job.spec.perTask.timesIn(room.getValue(it), job.openCount) } }
+            .entries.sortedBy { it.key.text }.maxByOrNull { it.value }?.key
+
+        private fun fits(job: JobView, machine: MachineView, perZone: Map<Zone, Int>) =
+            job.spec.perTask.fitsIn(room.getValue(machine)) && isAllowed(job, machine, perZone)
+
+        private fun isAllowed(job: JobView, machine: MachineView, perZone: Map<Zone, Int>): Boolean {
+            val spec = job.spec
+            return (machine.reservedFor == null || machine.reservedFor == spec.id) &&
+                (spec.spotAllowed || !machine.spot) &&
+                (spec.types == null || machine.type.id in spec.types!!) &&
+                (spec.zone == null || machine.zone == spec.zone) &&
+                (machine.id !in job.avoid || job.waitedS > 70) &&
+                (!spec.spread || (perZone[machine.zone] ?: 0) < spec.perZoneLimit)
+        }
+
+        private fun score(job: JobView, machine: MachineView): Double {
+            val spec = job.spec
+            val fetchS = if (spec.image in machine.images) 0.0 else spec.imageGb / machine.type.fetchGbPerS
+            val left = room.getValue(machine) - spec.perTask
+            val leftover = maxOf(left.cpus / machine.type.cpus, left.memoryGb / machine.type.memoryGb)
+            val isWrongKind =
+                if (job.slackS > 200) !machine.spot && spec.spotAllowed else machine.spot && spec.checkpointEveryS <= 0
+            return fetchS + leftover + (if (isWrongKind) 0.5 else 0.0)
+        }
+    }
+
+    private fun placement(snapshot: Snapshot): Placement {
+        val assurance = AssuranceAssessment(Policy()).assess(snapshot)
+        return Placement(snapshot, Policy(startsPerPass = 100_000), JobPriorities(snapshot, Policy(), assurance))
+    }
+
+    @Test
+    fun `groups and a look at every machine choose the same machines on random fleets`() {
+        var starts = 0
+        for (seed in 1L..300L) {
+            val random = Random(seed)
+            val machines = List(random.nextInt(1, 120)) { machine(random, it) }.shuffled(random)
+            val jobs = (1..random.nextInt(1, 14)).map { job(random, it, machines) }
+            val scan = Scan(machines).apply { jobs.forEach(::place) }
+            val snapshot = Snapshot(machines, jobs, emptyMap(), teams, emptyMap())
+            val placement = placement(snapshot)
+            jobs.forEach { placement.place(it, it.openCount) { true } }
+            assertEquals(scan.starts, placement.starts().map { it.job to it.machine }, "seed $seed")
+            starts += scan.starts.size
+        }
+        assertTrue(starts > 10_000, "$starts starts in all")
+    }
+
+    @Test
+    fun `an index that is kept as machines change is the same as one made anew`() {
+        for (seed in 1L..40L) {
+            val random = Random(seed)
+            val index = MachineIndex()
+            val machines = LinkedHashMap<Int, MachineView>()
+            repeat(400) { step ->
+                val number = random.nextInt(60)
+                val known = machines[number]
+                when {
+                    known == null -> machines[number] = machine(random, number).also(index::add)
+                    random.nextInt(3) == 0 -> index.remove(checkNotNull(machines.remove(number)))
+                    random.nextInt(4) == 0 && known.reservedFor == null -> index.reserve(known, JobId("j-${random.nextInt(1, 9)}"))
+                    else -> index.changeRoom(known, Resources(random.nextInt(0, 4).toDouble(), 0.0, random.nextInt(0, 9).toDouble()))
+                }
+                if (step % 20 == 0) assertTrue(describe(rebuilt(machines.values)) == describe(index), "seed $seed, step $step")
+            }
+            machines.values.forEach(index::remove)
+            assertEquals(0, index.groups.size)
+            assertEquals(0, index.reservedCount)
+        }
+    }
+
+    /** A view belongs to one index, so the new one gets copies. */
+    private fun rebuilt(machines: Collection<MachineView>) = MachineIndex.of(
+        machines.map { MachineView(it.id, it.type, it.zone, it.spot, it.room, it.images, it.reservedFor) { emptyList() } },
+    )
+
+    private fun describe(index: MachineIndex): Set<String> = index.groups.flatMapTo(HashSet()) { group ->
+        val members = generateSequence(group.next(null)) { group.next(it) }.toList()
+        val holders = (1..8).map { ImageId("i$it") }.associateWith { image ->
+            generateSequence(group.nextHolding(image, null)) { group.nextHolding(image, it) }.map { it.id }.toList()
+        }
+        members.map { "${it.id} ${group.type.id} ${group.zone} ${group.spot} ${group.room} ${it.reservedFor} ${group.size} $holders" }
+    } + "${index.reservedCount} ${index.reservedMachines.map { it.id.text }.sorted().toList()}"
+
+    @Test
+    fun `a job that finds no room looks at groups, not at machines`() {
+        val full = List(5000) { number ->
+            val room = Resources(number % 8 / 8.0, 0.0, 1.0)
+            MachineView(MachineId("vm-$number"), types[1], zones[number % 3], number % 2 == 0, room, emptySet(), null) { emptyList() }
+        }
+        val index = MachineIndex.of(full)
+        assertTrue(index.groups.size <= 48, "${index.groups.size} groups")
+        assertEquals(5000, index.groups.sumOf { it.size })
+    }
+}
--- a/src/test/kotlin/mountmast/coordination/SchedulerTest.kt
+++ b/src/test/kotlin/mountmast/coordination/SchedulerTest.kt
@@ -32,6 +32,7 @@
         residents: List<Resident> = emptyList(),
         images: Set<String> = emptySet(),
         zone: String = "a",
+        reservedFor: JobId? = null,
     ) = MachineView(
         MachineId(name),
         type,
@@ -41,7 +42,7 @@
         images.map {
             ImageId(it)
         }.toSet(),
-        null,
+        reservedFor,
     ) { residents }
 
     private fun job(
@@ -196,7 +197,7 @@
 
     @Test
     fun `a job passed over gets a task on a machine that is kept for another`() {
-        val kept = machine("kept", 8.0).apply { reservedFor = JobId("j-9") }
+        val kept = machine("kept", 8.0, reservedFor = JobId("j-9"))
         assertEquals(0, plan(listOf(kept), listOf(job(1, free, tasks = 3, waitedS = 50.0))).starts.size)
         assertEquals(1, plan(listOf(kept), listOf(job(1, free, tasks = 3, waitedS = 80.0))).starts.size)
     }
