--- a/src/main/kotlin/mountmast/coordination/JournalWriter.kt
+++ b/src/main/kotlin/mountmast/coordination/JournalWriter.kt
@@ -7,7 +7,6 @@
 import mountmast.protocol.WireJson
 import mountmast.storage.JournalRecord
 import mountmast.storage.JournalText
-import mountmast.storage.Keys
 import mountmast.storage.TaskEnd
 import mountmast.storage.TextCodec
 
@@ -18,18 +17,18 @@
     private var wroteAt = MonotonicTime(Long.MIN_VALUE / 2)
 
     /** Adds changes in the order in which they happened, in at most [mostRecords] records. */
-    fun addTo(batch: WriteBatch, limits: WriteLimits, mostRecords: Int, compact: Boolean, isShort: Boolean) {
+    fun addTo(batch: WriteBatch, limits: WriteLimits, size: JournalSize, mostRecords: Int, compact: Boolean, isShort: Boolean) {
         val now = clock.now()
         if (isShort && now - wroteAt < SHORT_EVERY_MS && ledger.unwritten.size < MANY_CHANGES) return
-        val free = JOURNAL_SLOTS - (journal.next - journal.snapshotUpTo).toInt()
-        val most = minOf(free, mostRecords, batch.room)
+        val most = freeSlots(size, minOf(mostRecords, batch.room))
         if (most <= 0) return
         val described = ArrayList<Unwritten>()
         val text = describeSome(described, most * limits.valueBytes * if (compact) USUAL_RATIO else 1)
         var from = 0
         while (from < text.length && batch.records.size < most && batch.room > 0) {
             val piece = TextCodec.packNext(text, from, limits.valueBytes, compact)
-            addRecord(batch, JournalRecord(journal.next + batch.records.size, piece.plain, piece.compressed))
+            val record = JournalRecord(journal.next + batch.records.size, piece.plain, piece.compressed)
+            addRecord(batch, SlottedRecord(size.slotOf(record.number), record))
             repeat(piece.entries) { batch.written += described[batch.written.size] }
             from = piece.end
         }
@@ -37,6 +36,14 @@
         if (batch.records.isNotEmpty()) wroteAt = now
     }
 
+    /** How many of the next slots are free, up to [most]; one always stays free. */
+    private fun freeSlots(size: JournalSize, most: Int): Int {
+        val left = minOf(most.toLong(), size.slots - 1 - journal.used).toInt()
+        var free = 0
+        while (free < left && journal.isFree(size.slotOf(journal.next + free))) free++
+        return free
+    }
+
     /** What the first changes that wait say, up to about [length] characters; they are added to [described], one for each entry. */
     private fun describeSome(described: ArrayList<Unwritten>, length: Int): String {
         val text = JournalText()
@@ -47,11 +54,10 @@
         return text.take()
     }
 
-    private fun addRecord(batch: WriteBatch, record: JournalRecord) {
-        val slot = slotOf(record.number)
-        batch.requires(Keys.journalSlot(slot), journal.stamps[slot])
-        batch.put(Keys.journalSlot(slot), WireJson.encodeToJsonElement(record))
-        batch.records += record
+    private fun addRecord(batch: WriteBatch, slotted: SlottedRecord) {
+        batch.requires(slotted.key, journal.stampOf(slotted.slot))
+        batch.put(slotted.key, WireJson.encodeToJsonElement(slotted.record))
+        batch.records += slotted
     }
 
     /** Writes [change] into [text]; false where it came to nothing before it was written. */
@@ -89,20 +95,15 @@
     }
 
     /** The journal holds [records] now, written at [stamp]. */
-    fun committed(records: List<JournalRecord>, stamp: Stamp) {
-        for (record in records) journal.stamps[slotOf(record.number)] = stamp
+    fun committed(records: List<SlottedRecord>, stamp: Stamp) {
+        for (slotted in records) journal.note(slotted.slot, slotted.number, stamp)
         journal.next += records.size
     }
 
-    companion object {
-        /** Slots of the journal. A new leader reads them all, so they are few. */
-        const val JOURNAL_SLOTS = 128
-
+    private companion object {
         /** While changes are short a record waits for so long, unless so much is to be told. */
-        private const val SHORT_EVERY_MS = 400L
-        private const val MANY_CHANGES = 100
-        private const val USUAL_RATIO = 5
-
-        fun slotOf(number: Long): Int = (number % JOURNAL_SLOTS).toInt()
+        const val SHORT_EVERY_MS = 400L
+        const val MANY_CHANGES = 100
+        const val USUAL_RATIO = 5
     }
 }
--- a/src/main/kotlin/mountmast/coordination/LeaderTerm.kt
+++ b/src/main/kotlin/mountmast/coordination/LeaderTerm.kt
@@ -161,8 +161,10 @@
         val records = ArrayList<JournalRecord>()
         for (entry in slots) {
             val slot = Keys.slotOfKey(entry.key) ?: continue
-            if (slot < journal.stamps.size) journal.stamps[slot] = entry.stamp
-            decode<JournalRecord>(entry.key, entry.value)?.let { records += it }
+            val record = decode<JournalRecord>(entry.key, entry.value)
+            // What cannot be read is written over.
+            journal.note(slot, record?.number ?: 0, entry.stamp)
+            record?.let { records += it }
         }
         records.sortBy { it.number }
         journal.next = maxOf(journal.snapshotUpTo, records.lastOrNull()?.number ?: 0) + 1
--- a/src/main/kotlin/mountmast/coordination/LedgerWriter.kt
+++ b/src/main/kotlin/mountmast/coordination/LedgerWriter.kt
@@ -49,6 +49,7 @@
 ) {
     private val ledger get() = leaderTerm.ledger
     private var limits = WriteLimits.of(stateLimits)
+    private val largeJournal = JournalSize.of(limits.valueBytes)
     private val journal = JournalWriter(leaderTerm, clock)
     private val snapshots = SnapshotWriter(leaderTerm)
     private val types = TypesWriter(leaderTerm)
@@ -68,7 +69,7 @@
      * Set where [unsettled] is refused by now as too large. An earlier try of it may still be carried out, so the journal's
      * slot that it depends on is written first.
      */
-    private var fence: Write.Put? = null
+    private var fence: SlottedRecord? = null
 
     /** Writes one transaction if there is anything to write; false where there was nothing, or it failed. */
     fun step(): Boolean {
@@ -123,13 +124,14 @@
     private fun collect(mostOps: Int, isShort: Boolean): WriteBatch? {
         val batch = WriteBatch(leaderTerm.grant.stamp, mostOps)
         val isCompact = compact()
+        val size = if (isCompact) largeJournal else JournalSize.LEAST
         val ready = ledger.finishing.filter { it.nothingLives() }
         endsFirst = !endsFirst
-        addJournal(batch, ready.size, isCompact, isShort)
+        addJournal(batch, size, ready.size, isCompact, isShort)
         for (job in ready) if (batch.room >= OPS_PER_END) addOver(batch, job)
         addWatermark(batch)
         types.addTo(batch, limits, inParts = isCompact || rejectedOnce)
-        snapshots.addTo(batch, limits, isCompact, isShort)
+        snapshots.addTo(batch, limits, size, isCompact, isShort)
         if (!limits.isLeast) {
             progress.addTo(batch, limits, isCompact, isShort)
             failing.addTo(batch, limits)
@@ -139,7 +141,7 @@
     }
 
     /** The journal leaves half of the transaction to jobs that are over, and one change to what else is due. */
-    private fun addJournal(batch: WriteBatch, jobsOver: Int, isCompact: Boolean, isShort: Boolean) {
+    private fun addJournal(batch: WriteBatch, size: JournalSize, jobsOver: Int, isCompact: Boolean, isShort: Boolean) {
         val half = maxOf(OPS_PER_END, batch.room / 2)
         val forEnds = minOf(jobsOver * OPS_PER_END, half)
         // Where both do not fit they take turns.
@@ -151,7 +153,7 @@
             batch.room
         }
         val forOthers = if (left >= MIN_SHARED_OPS) 1 else 0
-        journal.addTo(batch, limits, left - forOthers, isCompact, isShort)
+        journal.addTo(batch, limits, size, left - forOthers, isCompact, isShort)
     }
 
     private fun addOver(batch: WriteBatch, job: Job) {
@@ -207,7 +209,6 @@
             leaderTerm.jobOver(end.job, end.record)
         }
         types.committed(batch)
-        buryEmptied()
     }
 
     private fun started(assignment: Assignment) {
@@ -218,11 +219,6 @@
         leaderTerm.dispatch.queue(assignment.machine)
     }
 
-    /** Deleted machines whose assignments are released now are forgotten. */
-    private fun buryEmptied() {
-        ledger.machines.values.removeAll { it.deleting && it.live.isEmpty() && it.id in ledger.tombstones }
-    }
-
     /** The state service takes less than was thought: the same is not tried again, but less at a time. */
     private fun rejected(batch: WriteBatch, e: StoreRejected) {
         log.debug("{}", e.message)
@@ -234,21 +230,22 @@
             fence = null
             leaderTerm.lock.withLock { putBack(batch) }
         } else {
-            val first = batch.records.first().number
-            val empty = JournalRecord(first, "")
-            fence = Write.Put(Keys.journalSlot(JournalWriter.slotOf(first)), WireJson.encodeToJsonElement(empty))
+            val first = batch.records.first()
+            fence = SlottedRecord(first.slot, JournalRecord(first.number, ""))
         }
     }
 
-    private fun fencing(put: Write.Put): Transaction {
-        val slot = JournalWriter.slotOf(leaderTerm.journal.next)
-        val conditions = listOf(Condition(Keys.LEADER, leaderTerm.grant.stamp), Condition(put.key, leaderTerm.journal.stamps[slot]))
-        return Transaction(conditions, listOf(put))
+    private fun fencing(empty: SlottedRecord): Transaction {
+        val conditions = listOf(
+            Condition(Keys.LEADER, leaderTerm.grant.stamp),
+            Condition(empty.key, leaderTerm.journal.stampOf(empty.slot)),
+        )
+        return Transaction(conditions, listOf(Write.Put(empty.key, WireJson.encodeToJsonElement(empty.record))))
     }
 
     /** An empty record is in the first slot of [batch], which can be carried out no more. */
     private fun fenced(batch: WriteBatch, stamp: Stamp) {
-        journal.committed(listOf(JournalRecord(batch.records.first().number, "")), stamp)
+        journal.committed(listOf(batch.records.first()), stamp)
         putBack(batch)
     }
 
@@ -282,13 +279,13 @@
     /** Whether an earlier try of [batch], or its fence, was carried out although no answer came: only we write in this term. */
     private fun wasCarriedOut(batch: WriteBatch): Boolean {
         val first = batch.records.first()
-        val entry = store.get(Keys.journalSlot(JournalWriter.slotOf(first.number))) ?: return false
+        val entry = store.get(first.key) ?: return false
         if (WireJson.decodeFromJsonElement<JournalRecord>(entry.value).number != first.number) return false
         if (!isFence(entry)) fence = null
         return settled(batch, entry.stamp)
     }
 
-    private fun isFence(entry: Entry) = entry.value == fence?.value
+    private fun isFence(entry: Entry) = fence?.let { WireJson.encodeToJsonElement(it.record) == entry.value } == true
 
     private fun resolveJob(key: String) {
         val id = Keys.jobOfKey(key) ?: return
--- a/src/main/kotlin/mountmast/coordination/SnapshotWriter.kt
+++ b/src/main/kotlin/mountmast/coordination/SnapshotWriter.kt
@@ -23,12 +23,12 @@
 
     private var draft: Draft? = null
 
-    fun addTo(batch: WriteBatch, limits: WriteLimits, compact: Boolean, isShort: Boolean) {
-        val current = draft ?: begin() ?: return
+    fun addTo(batch: WriteBatch, limits: WriteLimits, size: JournalSize, compact: Boolean, isShort: Boolean) {
+        val current = draft ?: begin(size) ?: return
         // Parts are written while the pointer still names the snapshot before: late ones then change nothing.
         batch.requires(Keys.SNAPSHOT, leaderTerm.journal.snapshotStamp)
         batch.snapshotEnd = current.position
-        val due = if (isShort) dueUpTo(current) else current.text.length
+        val due = if (isShort) dueUpTo(current, size) else current.text.length
         while (batch.room > 0 && batch.snapshotParts < PARTS_PER_BATCH && batch.snapshotEnd < due) {
             val piece = TextCodec.packNext(current.text, batch.snapshotEnd, limits.valueBytes, compact)
             val key = Keys.snapshotPart(current.generation, current.parts + batch.snapshotParts++)
@@ -62,25 +62,22 @@
     }
 
     /** What is in the journal by now; what is written later is replayed on top of it. */
-    private fun begin(): Draft? {
+    private fun begin(size: JournalSize): Draft? {
         val journal = leaderTerm.journal
-        val used = journal.next - journal.snapshotUpTo
-        if (used <= BEGIN_AFTER) return null
-        return Draft(leaderTerm.ledger.describe(), journal.generation + 1, journal.next - 1, used).also { draft = it }
+        // A leader before may have used another size, so that the next slot is taken although few are.
+        val isDue = journal.used >= size.beginSnapshotAfter || !journal.isFree(size.slotOf(journal.next))
+        if (!isDue) return null
+        return Draft(leaderTerm.ledger.describe(), journal.generation + 1, journal.next - 1, journal.used).also { draft = it }
     }
 
     /** How far the text should be written by now, for it to be whole before the slots run out. */
-    private fun dueUpTo(current: Draft): Int {
-        val journal = leaderTerm.journal
-        val used = journal.next - journal.snapshotUpTo - current.beganAt
-        val share = (used + 1).toDouble() / (maxOf(WHOLE_AT, current.beganAt + 1) - current.beganAt)
+    private fun dueUpTo(current: Draft, size: JournalSize): Int {
+        val used = leaderTerm.journal.used - current.beganAt
+        val share = (used + 1).toDouble() / (maxOf(size.snapshotWholeAt, current.beganAt + 1) - current.beganAt)
         return minOf(current.text.length.toLong(), (current.text.length * share).toLong()).toInt()
     }
 
     private companion object {
-        /** A snapshot is begun after this many records, and should be whole after that many. */
-        const val BEGIN_AFTER = 48L
-        const val WHOLE_AT = 112L
         const val PARTS_PER_BATCH = 4
     }
 }
--- a/src/main/kotlin/mountmast/coordination/WriteBatch.kt
+++ b/src/main/kotlin/mountmast/coordination/WriteBatch.kt
@@ -4,7 +4,6 @@
 import mountmast.protocol.MachineTypes
 import mountmast.protocol.Stamp
 import mountmast.storage.Condition
-import mountmast.storage.JournalRecord
 import mountmast.storage.Keys
 import mountmast.storage.OverRecord
 import mountmast.storage.SnapshotRecord
@@ -27,7 +26,7 @@
 
     /** Changes of the ledger that the journal's records in it tell of. */
     val written = ArrayList<Unwritten>()
-    val records = ArrayList<JournalRecord>()
+    val records = ArrayList<SlottedRecord>()
 
     /** Jobs that are over with it. */
     val over = ArrayList<JobEnd>()
