Renting, returning, listing, noted images and waiting requests follow the fleet's size

Rentals of a round are what the cloud's rate allows (200 at 5 calls a second, as before); deletions may use as many calls, where they had one; a list of many pages is read less often. Machines that are expected are counted by kind and room instead of looked at one by one for each waiting job. Buckets of noted images grow with the machines, 64 was the most. A deleted machine is forgotten when its last task is released, where every commit looked at all machines. Requests may wait up to a quarter of max_connections, up to 4,096 instead of 1,024.

--- a/src/main/kotlin/mountmast/coordination/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/Controller.kt
@@ -150,7 +150,7 @@
         val leaderTerm =
             LeaderTerm(grant, store, workers, settings.teams, policy, timing, clock, { it in notices }, prerequisiteLists)
         val writer = LedgerWriter(leaderTerm, store, settings.stateLimits, clock, { formats.isCurrent }) { leadership.lost() }
-        val fleet = Fleet(leaderTerm, cloud, clock, "${settings.node}-$run-${grant.term}", fleetPolicy, timing)
+        val fleet = Fleet(leaderTerm, cloud, clock, "${settings.node}-$run-${grant.term}", fleetPolicy, timing, settings.cloudRps)
         leaderComponents.set(LeaderComponents(leaderTerm, writer, fleet))
     }
 
--- a/src/main/kotlin/mountmast/coordination/Fleet.kt
+++ b/src/main/kotlin/mountmast/coordination/Fleet.kt
@@ -19,11 +19,15 @@
     rentalPrefix: String,
     policy: FleetPolicy,
     timing: Timing,
+    /** Calls a second that the cloud takes. */
+    cloudRatePerS: Double,
 ) {
+    /** A round comes once a second; what it may ask is the cloud's to say, not ours. */
+    private val callsPerRound = maxOf(1, (cloudRatePerS * Cloud.RATE_SHARE).toInt())
     private val history = OfferHistory(leaderTerm.ledger)
     private val inventory = FleetInventory(leaderTerm, cloud, policy)
-    private val returns = MachineReturns(leaderTerm, cloud, clock, policy, timing, history)
-    private val rentals = MachineRentals(leaderTerm, cloud, policy, timing, history, rentalPrefix)
+    private val returns = MachineReturns(leaderTerm, cloud, clock, policy, timing, history, callsPerRound)
+    private val rentals = MachineRentals(leaderTerm, cloud, policy, timing, history, rentalPrefix, callsPerRound)
     private var isCloudFailing = false
 
     /** One round; called about once a second. */
--- a/src/main/kotlin/mountmast/coordination/FleetInventory.kt
+++ b/src/main/kotlin/mountmast/coordination/FleetInventory.kt
@@ -15,10 +15,13 @@
     private var typesReadAt: MonotonicTime? = null
     private var machinesReadAt: MonotonicTime? = null
 
+    /** Pages that the list of machines had last. */
+    private var pages = 0
+
     /** Reads again what was read too long ago. Throws [CloudException] where that fails and cannot be done without. */
     fun refresh(now: MonotonicTime) {
         if (isDue(typesReadAt, policy.typesEveryMs, now)) readTypes(now)
-        if (isDue(machinesReadAt, policy.listEveryMs, now)) readMachines(now)
+        if (isDue(machinesReadAt, maxOf(policy.listEveryMs, pages * MS_PER_PAGE), now)) readMachines(now)
     }
 
     private fun isDue(last: MonotonicTime?, everyMs: Long, now: MonotonicTime) = last == null || now - last >= everyMs
@@ -47,11 +50,14 @@
 
     private fun readMachines(now: MonotonicTime) {
         val listed = ArrayList<ListedMachine>()
+        var read = 0
         do {
             val page = cloud.list(listed.lastOrNull()?.id)
+            read++
             listed += page.machines
         } while (page.more && page.machines.isNotEmpty())
         machinesReadAt = now
+        pages = read
         leaderTerm.lock.withLock { for (machine in listed) takeIn(machine, now) }
     }
 
@@ -77,5 +83,8 @@
 
     private companion object {
         const val MS_PER_S = 1000
+
+        /** A long list is read less often, as each page is a call that renting and returning have to wait for. */
+        const val MS_PER_PAGE = 1000L
     }
 }
--- a/src/main/kotlin/mountmast/coordination/ImagesWriter.kt
+++ b/src/main/kotlin/mountmast/coordination/ImagesWriter.kt
@@ -24,7 +24,14 @@
         val now = clock.now()
         if (batch.room <= 0 || now < notBefore) return
         notBefore = now + if (isShort) SHORT_EVERY_MS else EVERY_MS
-        val buckets = (BUCKETS * USUAL_VALUE_BYTES / limits.valueBytes).coerceIn(BUCKETS, MAX_BUCKETS)
+        val buckets = buckets(limits.valueBytes)
+        // While there is room each bucket's turn comes within a minute, however many there are.
+        val turns = if (isShort) 1 else 1 + buckets * EVERY_MS.toInt() / ROUND_MS
+        repeat(minOf(turns, buckets)) { addNext(batch, buckets, limits) }
+    }
+
+    private fun addNext(batch: WriteBatch, buckets: Int, limits: WriteLimits) {
+        if (batch.room <= 0) return
         val bucket = nextBucket % buckets
         nextBucket = bucket + 1
         val held = held(bucket, buckets, limits.valueBytes - TextCodec.ENVELOPE_BYTES)
@@ -33,6 +40,13 @@
         batch.put(Keys.IMAGES + bucket, WireJson.encodeToJsonElement(ImagesRecord(held)))
     }
 
+    /** As many as the machines need, by powers of two, so that few machines ever change their bucket. */
+    private fun buckets(valueBytes: Int): Int {
+        var buckets = LEAST_BUCKETS
+        while (buckets.toLong() * valueBytes < ledger.machines.size.toLong() * USUAL_MACHINE_BYTES) buckets *= 2
+        return buckets
+    }
+
     /** What the machines of [bucket] hold, as many of them as there is room for. */
     private fun held(bucket: Int, buckets: Int, mostBytes: Int): Map<MachineId, Map<ImageId, Double>> {
         val held = LinkedHashMap<MachineId, Map<ImageId, Double>>()
@@ -52,10 +66,13 @@
         const val EVERY_MS = 1500L
         const val SHORT_EVERY_MS = 6000L
 
-        /** Buckets where values take [USUAL_VALUE_BYTES]. */
-        const val BUCKETS = 8
-        const val MAX_BUCKETS = 64
-        const val USUAL_VALUE_BYTES = 8 * 1024
+        const val LEAST_BUCKETS = 8
+
+        /** About what a machine with some images takes, with room for buckets that get more than their share. */
+        const val USUAL_MACHINE_BYTES = 128
+
+        /** Within so long all buckets are written once, while changes are not short. */
+        const val ROUND_MS = 60_000
 
         /** Sizes are noted to a hundredth of a gigabyte. */
         const val SIZE_STEPS = 100.0
--- a/src/main/kotlin/mountmast/coordination/Ledger.kt
+++ b/src/main/kotlin/mountmast/coordination/Ledger.kt
@@ -218,6 +218,7 @@
                 machine.idleSince = now
                 // Rounding must not add up over a machine's life.
                 machine.used = Resources.NONE
+                if (machine.deleting && machine.id in tombstones) machines.remove(machine.id)
             }
         }
         uses.merge(job.spec.team, job.perTask) { a, b -> a - b }
--- a/src/main/kotlin/mountmast/coordination/MachineRentals.kt
+++ b/src/main/kotlin/mountmast/coordination/MachineRentals.kt
@@ -23,10 +23,12 @@
     history: OfferHistory,
     /** Begins the names of rental requests. */
     private val requestPrefix: String,
+    /** Calls to the cloud that a round may make. */
+    callsPerRound: Int,
 ) {
     private val ledger get() = leaderTerm.ledger
     private val pausedUntil = HashMap<Offer, MonotonicTime>()
-    private val planner = RentalPlanner(leaderTerm, timing, history, ::isPaused)
+    private val planner = RentalPlanner(leaderTerm, timing, history, callsPerRound * Cloud.MAX_PER_RENTAL, ::isPaused)
     private var requestCount = 0
     private var unanswered: RentalRequest? = null
 
--- a/src/main/kotlin/mountmast/coordination/MachineReturns.kt
+++ b/src/main/kotlin/mountmast/coordination/MachineReturns.kt
@@ -21,28 +21,33 @@
     private val policy: FleetPolicy,
     private val timing: Timing,
     private val history: OfferHistory,
+    /** Calls to the cloud that a round may make. */
+    private val callsPerRound: Int,
 ) {
     private val ledger get() = leaderTerm.ledger
 
     /** One round of returns, decided as of [now]. Throws `CloudException` where the cloud does not answer. */
     fun step(now: MonotonicTime) {
         val chosen = leaderTerm.lock.withLock { choose(now) }
-        if (chosen.isEmpty()) return
-        cloud.delete(chosen)
-        leaderTerm.lock.withLock {
-            for (id in chosen) ledger.markDeleted(id, clock.now())
-            val forgotten = ledger.tombstones.entries.takeWhile { now - it.value > TOMBSTONE_MS }.map { it.key }
-            ledger.tombstones.keys.removeAll(forgotten.toSet())
-            leaderTerm.wakeWriter()
+        for (part in chosen.chunked(Cloud.MAX_PER_DELETION).take(callsPerRound)) {
+            cloud.delete(part)
+            leaderTerm.lock.withLock { deleted(part, now) }
         }
     }
 
+    private fun deleted(machines: List<MachineId>, now: MonotonicTime) {
+        for (id in machines) ledger.markDeleted(id, clock.now())
+        val forgotten = ledger.tombstones.entries.takeWhile { now - it.value > TOMBSTONE_MS }.map { it.key }
+        ledger.tombstones.keys.removeAll(forgotten.toSet())
+        leaderTerm.wakeWriter()
+    }
+
     private fun choose(now: MonotonicTime): List<MachineId> {
         val chosen = ledger.machines.values.filter { it.id !in ledger.tombstones && (it.deleting || shouldReturn(it, now)) }
         for (machine in chosen) {
             if (!machine.deleting) beginReturn(machine)
         }
-        return chosen.map { it.id }.take(Cloud.MAX_PER_DELETION)
+        return chosen.map { it.id }
     }
 
     private fun beginReturn(machine: Machine) {
--- a/src/main/kotlin/mountmast/coordination/RentalPlanner.kt
+++ b/src/main/kotlin/mountmast/coordination/RentalPlanner.kt
@@ -2,8 +2,6 @@
 
 import mountmast.protocol.MachineType
 import mountmast.protocol.MonotonicTime
-import mountmast.protocol.Resources
-import mountmast.protocol.Zone
 
 /**
  * Decides what to rent: machines for the waiting tasks that those still booting will not have room for.
@@ -13,6 +11,8 @@
     private val leaderTerm: LeaderTerm,
     private val timing: Timing,
     private val history: OfferHistory,
+    /** How many machines can be rented in a round at most. */
+    private val mostPerRound: Int,
     /** Whether the cloud lately had no such machine. */
     private val isPaused: (Offer, MonotonicTime) -> Boolean,
 ) {
@@ -32,37 +32,33 @@
     private inner class Round(private val now: MonotonicTime, private val lateOffers: Set<Offer>) {
         val rentals = LinkedHashMap<Offer, Int>()
         private var rentalCount = 0
-        private val expected = expectedMachines().toMutableList()
+        private val expected = ExpectedMachines().apply { offersOfExpected().forEach { add(it.offer, it.type.capacity) } }
 
-        private fun expectedMachines(): List<ExpectedMachine> {
+        private fun offersOfExpected(): List<TypedOffer> {
             // Where nothing else is to be had, or offer after offer is late, more machines would only be late as well: rentals
             // must not run away.
             val isElsewhere = lateOffers.size < MANY_LATE_OFFERS && allOffers().any { it !in lateOffers && !isPaused(it, now) }
             return ledger.machines.values
                 .filter { isExpectedSoon(it, now) || (!isElsewhere && it.offer() in lateOffers) }
                 .mapNotNull { it.offer() }
-                .mapNotNull { offer -> ledger.types[offer.type]?.let { ExpectedMachine(offer, it.capacity) } }
+                .mapNotNull { offer -> ledger.types[offer.type]?.let { TypedOffer(offer, it) } }
         }
 
         /** Finds room for [tasks] of [job], on expected machines first. */
         fun cover(job: Job, tasks: Int) {
-            val zones = ZoneShares(job)
-            var left = tasks
-            for (machine in expected) left -= machine.take(job, left, zones)
-            while (left > 0 && rentalCount < MAX_RENTALS_PER_ROUND) {
+            val zones = ZoneShares.of(job)
+            var left = tasks - expected.take(job, tasks, zones)
+            while (left > 0 && rentalCount < mostPerRound) {
                 val best = bestOffer(job, left, zones) ?: return
-                val taken = rent(best).take(job, left, zones)
+                rentals.merge(best.offer, 1, Int::plus)
+                rentalCount++
+                expected.add(best.offer, best.type.capacity)
+                val taken = expected.takeFrom(best.offer, best.type.capacity, job, left, zones)
                 if (taken == 0) return
                 left -= taken
             }
         }
 
-        private fun rent(chosen: PricedOffer): ExpectedMachine {
-            rentals.merge(chosen.offer, 1, Int::plus)
-            rentalCount++
-            return ExpectedMachine(chosen.offer, chosen.type.capacity).also { expected += it }
-        }
-
         private fun bestOffer(job: Job, wanted: Int, zones: ZoneShares): PricedOffer? {
             val usable = allOffers().mapNotNull { price(it, job, wanted, zones) }.toList()
             val punctual = usable.filter { it.offer !in lateOffers }
@@ -100,47 +96,12 @@
     /** A machine that was running when this leader came reports within this time, or never. */
     private val firstReportMs get() = timing.quietMs + SLOW_NODE_MARGIN_MS
 
-    private class PricedOffer(val offer: Offer, val type: MachineType, val pricePerTask: Double)
-
-    /** A machine that will be there soon, with the room that no waiting task has been promised yet. */
-    private class ExpectedMachine(val offer: Offer, private var room: Resources) {
-        /** Promises room to up to [most] tasks of [job]; returns to how many. */
-        fun take(job: Job, most: Int, zones: ZoneShares): Int {
-            val allowed = minOf(most, zones.left(offer.zone))
-            if (allowed <= 0 || !offer.isAllowedFor(job.spec)) return 0
-            val count = job.perTask.timesIn(room, allowed)
-            room -= job.perTask * count
-            zones.take(offer.zone, count)
-            return count
-        }
-    }
-
-    /**
-     * How many more of a job's tasks each zone may take. A job that is bound to the zone of its first tasks once had machines
-     * rented in the other, cheaper one, and waited beside them.
-     */
-    private class ZoneShares(job: Job) {
-        private val spec = job.spec
-        private val taken = HashMap<Zone, Int>()
+    private class TypedOffer(val offer: Offer, val type: MachineType)
 
-        init {
-            if (spec.oneZone || spec.spread) for (assignment in job.live.values) take(assignment.zone, 1)
-        }
-
-        fun left(zone: Zone): Int = when {
-            spec.oneZone && taken.keys.any { it != zone } -> 0
-            spec.spread -> spec.perZoneLimit - (taken[zone] ?: 0)
-            else -> Int.MAX_VALUE
-        }
-
-        fun take(zone: Zone, count: Int) {
-            if (count > 0) taken.merge(zone, count, Int::plus)
-        }
-    }
+    private class PricedOffer(val offer: Offer, val type: MachineType, val pricePerTask: Double)
 
     private companion object {
         const val MANY_LATE_OFFERS = 2
-        const val MAX_RENTALS_PER_ROUND = 200
 
         /** Up to this many times the lowest price per task, the smallest machine is chosen. */
         const val NEARLY_CHEAPEST_FACTOR = 1.2
--- a/src/main/kotlin/mountmast/transport/Cloud.kt
+++ b/src/main/kotlin/mountmast/transport/Cloud.kt
@@ -34,12 +34,15 @@
         const val MAX_PER_RENTAL = 50
         const val MAX_PER_DELETION = 100
         const val MAX_PER_PAGE = 500
+
+        /** Of the cloud's rate, what this node uses: only the leader calls, but one that was just replaced may still do so. */
+        const val RATE_SHARE = 0.8
     }
 }
 
 /** The cloud over HTTP, within its rate. */
 class HttpCloud(private val at: InetSocketAddress, ratePerS: Double, private val caller: HttpCaller = HttpCaller()) : Cloud {
-    private val rate = RateLimiter.create(ratePerS * RATE_SHARE)
+    private val rate = RateLimiter.create(ratePerS * Cloud.RATE_SHARE)
 
     override fun machineTypes(): List<MachineType> = decode<MachineTypes>(ask("GET", "/machine_types", null)).types
 
@@ -83,8 +86,6 @@
     }
 
     private companion object {
-        /** Only the leader calls the cloud, but a leader that was just replaced may still do so. */
-        const val RATE_SHARE = 0.8
         const val RATE_WAIT_S = 3L
         const val WAIT_MS = 4000
     }
--- a/src/main/kotlin/mountmast/transport/Sockets.kt
+++ b/src/main/kotlin/mountmast/transport/Sockets.kt
@@ -32,7 +32,7 @@
         private const val OWN_SHARE = 10
         private const val WAITING_SHARE = 4
         private const val MIN_WAITING = 64
-        private const val MAX_WAITING = 1024
+        private const val MAX_WAITING = 4096
         private const val PER_POSTER = 150
         private const val MIN_POSTERS = 4
         private const val MAX_POSTERS = 16
