--- /dev/null
+++ b/src/test/kotlin/mountmast/coordination/LargeFleetTest.kt
@@ -0,0 +1,85 @@
+package mountmast.coordination
+
+import mountmast.protocol.ImageId
+import mountmast.protocol.JobId
+import mountmast.protocol.JobSpec
+import mountmast.protocol.JobStatus
+import mountmast.protocol.Shape
+import mountmast.protocol.StateLimits
+import mountmast.protocol.TeamId
+import mountmast.protocol.Urgency
+import mountmast.standin.FallingLimits
+import mountmast.standin.World
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Some 4,000 machines with 32,000 tasks: filled, reconnecting, taken over, cut, under falling limits. The rules are checked after each step. */
+class LargeFleetTest {
+    private val limits = FallingLimits(StateLimits(500.0, 80.0, 8.0, 16), StateLimits(500.0, 80.0, 2.0, 8), fallsAtMs = 95_000)
+    private val world = World(91, quietNetwork = true, perOffer = 525, limits = limits)
+
+    private fun spec(number: Int, tasks: Int, cpus: Double, runS: Double, needs: List<JobId> = emptyList()): JobSpec = world.job(number) {
+        it.copy(
+            team = TeamId("free"), shape = Shape.ARRAY, urgency = Urgency.NORMAL, tasks = tasks, cpus = cpus, memoryGb = 2 * cpus,
+            image = ImageId("i"), imageGb = 0.2, types = null, zone = null, oneZone = false, spread = false, spotAllowed = true,
+            estimateS = runS, checkpointEveryS = 0.0, deadlineS = null, prerequisites = needs,
+        )
+    }
+
+    private fun submit(spec: JobSpec): JobId {
+        assertEquals(201, world.submit(spec))
+        return spec.id
+    }
+
+    private fun leader() = world.seats.mapNotNull { it.controller?.leaderTerm() }.maxBy { it.grant.term }
+
+    private fun assigned() = leader().ledger.machines.values.sumOf { it.live.size }
+
+    @Test
+    fun `4000 machines are filled, reconnect at once, are taken over, cut in part and meet lower limits`() {
+        world.run(6000, busy = false)
+        val jobs = (1..JOBS).map { submit(spec(it, TASKS, cpus = 1.25, runS = 500.0)) }
+        world.run(70_000, busy = false)
+        assertTrue(world.cloud.workers.count { it.alive } in 3900..4200, "${world.cloud.workers.count { it.alive }} machines")
+        val started = world.rules.started
+        assertTrue(started > ALL_TASKS * 0.9, "$started starts")
+        assertTrue(world.store.writes < 3000, "${world.store.writes} writes")
+
+        // A pipeline goes on beside all that follows.
+        val first = submit(spec(501, 4, cpus = 0.1, runS = 5.0))
+        val second = submit(spec(502, 4, cpus = 0.1, runS = 20.0, needs = listOf(first)))
+        val last = submit(spec(503, 4, cpus = 0.1, runS = 5.0, needs = listOf(second)))
+
+        // Every worker reconnects at once, to nodes that have all ended, and end again before they have recovered.
+        world.seats.forEach { it.crash(world.random.nextLong(50, 800)) }
+        world.cloud.workers.forEach { it.target = world.random.nextInt(World.NODES) }
+        world.run(2500, busy = false)
+        world.seats.forEach { it.crash(world.random.nextLong(50, 800)) }
+        world.run(15_000, busy = false)
+        assertTrue(world.rules.started - started < ALL_TASKS / 10, "${world.rules.started - started} starts after a takeover")
+        assertTrue(assigned() > ALL_TASKS * 0.9, "${assigned()} assignments taken over")
+        assertTrue(leader().ledger.machines.values.filter { it.live.isNotEmpty() }.count { it.hasSeenTerm } > 3500)
+
+        // The limits have fallen by now; a quarter of the fleet is cut off for over a lease, and another leader follows.
+        val cut = world.cloud.workers.filter { it.alive && it.busy }.filterIndexed { i, _ -> i % 4 == 0 }
+        cut.forEach { it.cutUntil = world.time.now + 9000 }
+        world.run(3000, busy = false)
+        world.seats.first { it.controller?.leaderTerm() != null }.crash(500)
+        world.run(30_000, busy = false)
+        assertEquals(0, world.store.tooLarge, "transactions over the limits")
+        assertTrue(assigned() > ALL_TASKS * 0.85, "${assigned()} assignments in the end")
+
+        // A cancellation of thousands of tasks, and the pipeline's end.
+        jobs.take(5).forEach { assertEquals(200, world.cancel(it)) }
+        world.run(30_000, busy = false)
+        assertEquals(0, jobs.take(5).sumOf { world.rules.runningOf(it) })
+        assertEquals(JobStatus.DONE, world.poll(last))
+    }
+
+    private companion object {
+        const val JOBS = 80
+        const val TASKS = 400
+        const val ALL_TASKS = JOBS * TASKS
+    }
+}
--- a/src/test/kotlin/mountmast/standin/Failures.kt
+++ b/src/test/kotlin/mountmast/standin/Failures.kt
@@ -16,7 +16,10 @@
     fun draw() {
         val drawn = Drawn(seats.random(random), random.nextLong(1000, LONGEST_MS), aliveWorkers.randomOrNull(random))
         val kind = random.nextInt(KINDS)
-        processFails(kind, drawn) || linkFails(kind, drawn) || workerFails(kind, drawn) || fleetFails(kind, drawn) ||
+        processFails(kind, drawn) ||
+            linkFails(kind, drawn) ||
+            workerFails(kind, drawn) ||
+            fleetFails(kind, drawn) ||
             usersAct(kind, drawn.ms)
     }
 
--- a/src/test/kotlin/mountmast/standin/Rules.kt
+++ b/src/test/kotlin/mountmast/standin/Rules.kt
@@ -17,6 +17,27 @@
 /** Where a task runs, as the rules see it. */
 data class Place(val machine: MachineId, val type: TypeId, val zone: Zone, val spot: Boolean)
 
+/** Which tasks are on machines, by job, and what each team's take: looked at for every start of tens of thousands. */
+private class RunningTasks {
+    private val byJob = HashMap<JobId, HashMap<TaskId, Place>>()
+    private val uses = HashMap<TeamId, Resources>()
+
+    fun of(job: JobId): Map<TaskId, Place> = byJob[job].orEmpty()
+
+    fun placeOf(task: TaskId): Place? = byJob[task.job]?.get(task)
+
+    fun useOf(team: TeamId): Resources = uses[team] ?: Resources.NONE
+
+    fun add(task: TaskId, place: Place, spec: JobSpec) {
+        val isNew = byJob.getOrPut(task.job) { HashMap() }.put(task, place) == null
+        if (isNew) uses.merge(spec.team, spec.perTask) { sum, taken -> (sum + taken).rounded() }
+    }
+
+    fun remove(task: TaskId, spec: JobSpec) {
+        if (byJob[task.job]?.remove(task) != null) uses.merge(spec.team, spec.perTask) { sum, taken -> (sum - taken).rounded() }
+    }
+}
+
 /** PROTOCOL's rules, checked as things happen. */
 class Rules(private val teams: Map<TeamId, TeamQuota>, private val cancelMs: Long) {
     private val submitted = HashMap<JobId, JobSpec>()
@@ -24,7 +45,7 @@
     private val cancelAsked = HashSet<JobId>()
     private val told = HashMap<JobId, JobStatus>()
     private val cancelToldAt = HashMap<JobId, Long>()
-    private val running = HashMap<TaskId, Place>()
+    private val running = RunningTasks()
     private val completed = HashMap<JobId, HashSet<Int>>()
     private val firstStart = HashMap<JobId, Long>()
     private val submittedAt = HashMap<JobId, Long>()
@@ -115,20 +136,19 @@
         starts.merge(task.job, 1, Int::plus)
         val spec = submitted.getValue(task.job)
         if (!prerequisitesDone(task.job)) broken("too_early", "$task before ${spec.prerequisites}")
-        running[task]?.let { if (it.machine != place.machine) broken("ran_twice", "$task on ${it.machine} and ${place.machine}") }
+        running.placeOf(task)?.let { if (it.machine != place.machine) broken("ran_twice", "$task on ${it.machine} and ${place.machine}") }
         if (spec.types != null && place.type !in spec.types!!) broken("wrong_place", "$task on ${place.type}")
         if (spec.zone != null && spec.zone != place.zone) broken("wrong_place", "$task in ${place.zone}")
         if (place.spot && !spec.spotAllowed) broken("wrong_place", "$task on spot")
-        val others = running.filterKeys { it.job == task.job && it != task }.values
+        val others = running.of(task.job).filterKeys { it != task }.values
         if (spec.oneZone && others.any { it.zone != place.zone }) broken("wrong_place", "$task apart from its job")
         if (spec.spread &&
             others.count { it.zone == place.zone } + 1 > spec.perZoneLimit
         ) {
             broken("wrong_place", "$task: too many in ${place.zone}")
         }
-        running[task] = place
-        val use = running.keys.map { submitted.getValue(it.job) }.filter { it.team == spec.team }
-            .fold(Resources.NONE) { sum, job -> sum + job.perTask }
+        running.add(task, place, spec)
+        val use = running.useOf(spec.team)
         if (!teams.getValue(spec.team).limitAllows(use)) broken("quota", "${spec.team} uses $use")
         checkCancelled(task, now)
     }
@@ -146,9 +166,10 @@
 
     /** Whether [id] has tasks that neither run nor are done, and how many run in each zone. */
     fun waits(id: JobId): Boolean = prerequisitesDone(id) && runningOf(id) + completed[id].orEmpty().size < submitted.getValue(id).tasks
-    fun zonesOf(id: JobId): Map<Zone, Int> = running.filterKeys { it.job == id }.values.groupingBy { it.zone }.eachCount()
-    fun useOf(team: TeamId): Resources = running.keys.map { submitted.getValue(it.job) }.filter { it.team == team }
-        .fold(Resources.NONE) { sum, job -> sum + job.perTask }
+
+    fun zonesOf(id: JobId): Map<Zone, Int> = running.of(id).values.groupingBy { it.zone }.eachCount()
+
+    fun useOf(team: TeamId): Resources = running.useOf(team)
 
     private val roomSince = HashMap<JobId, Long>()
 
@@ -166,13 +187,13 @@
     private val lastStart = HashMap<JobId, Long>()
 
     fun taskGone(task: TaskId, place: MachineId, done: Boolean) {
-        if (running[task]?.machine == place) running -= task
+        if (running.placeOf(task)?.machine == place) running.remove(task, submitted.getValue(task.job))
         if (done) completed.getOrPut(task.job) { HashSet() } += task.index
     }
 
     /** Called after each step. */
     fun check(now: Long) {
-        for (task in running.keys) checkCancelled(task, now)
+        for (job in cancelToldAt.keys) for (task in running.of(job).keys) checkCancelled(task, now)
     }
 
     /** How many starts of tasks of [id] there were. */
@@ -181,7 +202,7 @@
     private val starts = HashMap<JobId, Int>()
 
     /** How many tasks of [id] are on machines. */
-    fun runningOf(id: JobId) = running.keys.count { it.job == id }
+    fun runningOf(id: JobId) = running.of(id).size
 
     fun tellable(id: JobId) = told[id]
 
--- a/src/test/kotlin/mountmast/standin/StandInCloud.kt
+++ b/src/test/kotlin/mountmast/standin/StandInCloud.kt
@@ -46,6 +46,8 @@
         for ((id, machine) in machines) {
             if (machine.worker == null && time.now >= machine.upAt) machine.worker = newWorker(id, machine.request)
         }
+        // The lists of a large fleet are kept a second apart.
+        if (machines.size > LARGE_FLEET && time.now - (lists.lastOrNull()?.first ?: 0) < LISTED_EVERY_MS) return
         lists += time.now to machines.map { (id, it) ->
             val state = if (it.worker == null) ListedState.BOOTING else ListedState.RUNNING
             ListedMachine(id, "$id:9000", it.request.type, it.request.zone, it.request.spot, state, (time.now - it.at) / 1000.0)
@@ -76,6 +78,11 @@
         return RentalOutcome.Rented(ids)
     }
 
+    private companion object {
+        const val LARGE_FLEET = 1000
+        const val LISTED_EVERY_MS = 1000L
+    }
+
     /** The cloud as one node reaches it. */
     inner class View(private val trouble: Trouble) : Cloud {
         private fun <T> ask(act: () -> T): T {
