--- a/src/main/kotlin/mountmast/storage/HttpStateStore.kt
+++ b/src/main/kotlin/mountmast/storage/HttpStateStore.kt
@@ -119,9 +119,12 @@
     }
 
     private fun call(method: String, path: String, body: String?, waitMs: Int = WAIT_MS): Reply {
+        val began = System.nanoTime()
         if (!requests.tryAcquire(RATE_WAIT_MS, TimeUnit.MILLISECONDS)) throw overShare()
         try {
+            val admitted = System.nanoTime()
             val reply = caller.call(at, method, path, body?.encodeToByteArray(), waitMs)
+            if (waitMs == WAIT_MS) tellIfSlow("$method $path", began, admitted)
             // Above the rates the service answers 429: it is within reach.
             lastOk = reply.status < 500
             if (lastOk) lastOkNanos = System.nanoTime()
@@ -132,6 +135,15 @@
         }
     }
 
+    private fun tellIfSlow(call: String, beganNanos: Long, admittedNanos: Long) {
+        val tookMs = (System.nanoTime() - beganNanos) / NANOS_PER_MS
+        if (tookMs >=
+            SLOW_MS
+        ) {
+            log.debug("{} took {} ms, {} of them for the share", call, tookMs, (admittedNanos - beganNanos) / NANOS_PER_MS)
+        }
+    }
+
     private fun takeWrites(count: Int) {
         val waitMs = writes.take(count, RATE_WAIT_MS) ?: throw overShare()
         if (waitMs > 0) Thread.sleep(waitMs)
@@ -215,6 +227,8 @@
         const val REACHED_NANOS = 2_500_000_000L
         const val RATE_WAIT_MS = 300L
         const val MAX_TOLD = 200
+        const val SLOW_MS = 100
+        const val NANOS_PER_MS = 1_000_000L
         const val MAX_REJECTIONS = 1000
     }
 }
--- a/src/main/kotlin/mountmast/transport/HttpMessages.kt
+++ b/src/main/kotlin/mountmast/transport/HttpMessages.kt
@@ -21,6 +21,10 @@
 /** Largest body between nodes: a relayed request and all that is around it. */
 private const val MAX_PEER_BODY_BYTES = 4 * MAX_BODY_BYTES
 
+/** From here on a request or call counts as slow: half of what users at large sites wait for a submission. */
+internal const val SLOW_MS = 100
+internal const val NANOS_PER_MS = 1_000_000L
+
 /** The JSON body of a refusal. */
 fun refusal(why: String): String = WireJson.encodeToString(Refusal(why))
 
@@ -39,6 +43,15 @@
     }
 }
 
+/** Tells at `debug` which requests took long, and how long. */
+internal fun timed(handler: HttpHandler): HttpHandler = { request ->
+    val began = System.nanoTime()
+    val response = handler(request)
+    val tookMs = (System.nanoTime() - began) / NANOS_PER_MS
+    if (tookMs >= SLOW_MS) log.debug("{} {} got {} after {} ms", request.method, request.uri.path, response.status.code, tookMs)
+    response
+}
+
 /** Answers by [answer], or refuses every method but [allowed]. */
 internal inline fun Request.only(allowed: Method, answer: () -> Response): Response =
     if (method == allowed) answer() else json(405, refusal("method not allowed")).header("Allow", allowed.name)
