Workers' reports have threads of their own, so that users do not wait behind hundreds of them

Reports have four threads now; the thread that reads a request hands the report over and is free for the next. What exceeds the lane's queue gets 503 with Retry-After at once.

--- a/src/main/kotlin/mountmast/coordination/Node.kt
+++ b/src/main/kotlin/mountmast/coordination/Node.kt
@@ -3,6 +3,8 @@
 import mountmast.protocol.Settings
 import mountmast.transport.AdmissionLimits
 import mountmast.transport.BoundedServer
+import mountmast.transport.HEARTBEAT_PATH
+import mountmast.transport.RequestLane
 import mountmast.transport.Sockets
 import mountmast.transport.peerRoutes
 import mountmast.transport.publicRoutes
@@ -29,8 +31,10 @@
     private fun startServers(sockets: Sockets) {
         // What users submit is shed first: their polls have a limit of their own, and both leave threads to the workers.
         val admission = AdmissionLimits(operators.admission.limit(), operators.admission.limit())
+        // When all workers connect at once, after an election, users would wait behind hundreds of reports.
+        val heartbeats = RequestLane(HEARTBEAT_PATH, HEARTBEAT_THREADS, sockets.waiting)
         publicRoutes(controller.users, controller, admission)
-            .asServer(BoundedServer(settings.serveOn, "serve", SERVE_THREADS, sockets.waiting)).start()
+            .asServer(BoundedServer(settings.serveOn, "serve", SERVE_THREADS, sockets.waiting, listOf(heartbeats))).start()
         peerRoutes(controller.users, controller)
             .asServer(BoundedServer(settings.peerListen, "peer", PEER_THREADS, PEER_WAITING)).start()
     }
@@ -108,6 +112,9 @@
 
     private companion object {
         const val SERVE_THREADS = 60
+
+        /** A report is answered from memory, under the ledger's lock: more threads than these only wait for one another. */
+        const val HEARTBEAT_THREADS = 4
         const val PEER_THREADS = 4
         const val PEER_WAITING = 256
         const val CALLERS = 8
--- a/src/main/kotlin/mountmast/transport/BoundedServer.kt
+++ b/src/main/kotlin/mountmast/transport/BoundedServer.kt
@@ -1,49 +1,114 @@
 package mountmast.transport
 
+import com.sun.net.httpserver.HttpExchange
 import com.sun.net.httpserver.HttpServer
 import org.http4k.core.HttpHandler
 import org.http4k.server.Http4kServer
 import org.http4k.server.HttpExchangeHandler
 import org.http4k.server.ServerConfig
+import org.slf4j.LoggerFactory
+import java.io.IOException
+import java.net.HttpURLConnection
 import java.net.InetSocketAddress
 import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.ThreadPoolExecutor
 import java.util.concurrent.TimeUnit
+import com.sun.net.httpserver.HttpHandler as JdkHandler
+
+private val log = LoggerFactory.getLogger("mountmast.transport")
+
+/**
+ * Requests to [path] have [threads] of their own, and up to [waiting] of them wait for one. Where requests of one kind come by
+ * the hundreds at once, they neither keep all threads nor share the processor with others as so many equals.
+ */
+class RequestLane(val path: String, val threads: Int, val waiting: Int)
 
 /**
  * http4k on the JDK's server. http4k's own `SunHttp` binds every address and has an unbounded pool; this one
- * binds the address it is given and bounds threads and waiting requests.
+ * binds the address it is given and bounds threads and waiting requests. What is over the bound of a lane is answered at once,
+ * what is over the server's is refused by closing the connection.
  */
-class BoundedServer(private val at: InetSocketAddress, private val name: String, private val threads: Int, private val waiting: Int) :
-    ServerConfig {
+class BoundedServer(
+    private val at: InetSocketAddress,
+    private val name: String,
+    private val threads: Int,
+    private val waiting: Int,
+    private val lanes: List<RequestLane> = emptyList(),
+) : ServerConfig {
     override val stopMode = ServerConfig.StopMode.Immediate
 
     override fun toServer(http: HttpHandler): Http4kServer {
         val server = HttpServer.create(at, maxOf(BACKLOG, waiting))
-        val pool = ThreadPoolExecutor(
+        val handler = HttpExchangeHandler(http)
+        val pools = arrayListOf(pool(name, threads, waiting))
+        server.createContext("/", handler)
+        server.executor = pools.first()
+        for (lane in lanes) {
+            val pool = pool("$name-lane", lane.threads, lane.waiting)
+            pools += pool
+            server.createContext(lane.path) { exchange -> handOver(exchange, handler, pool) }
+        }
+        return object : Http4kServer {
+            override fun start() = apply { server.start() }
+            override fun stop() = apply {
+                server.stop(0)
+                pools.forEach { it.shutdownNow() }
+            }
+
+            override fun port() = server.address.port
+        }
+    }
+
+    private fun pool(name: String, threads: Int, waiting: Int): ThreadPoolExecutor {
+        val pool = object : ThreadPoolExecutor(
             threads,
             threads,
             IDLE_S,
             TimeUnit.SECONDS,
             LinkedBlockingQueue(waiting),
             { task -> Thread(null, task, name, STACK_BYTES).apply { isDaemon = true } },
-        )
+        ) {
+            override fun execute(task: Runnable) = super.execute(if (log.isDebugEnabled) timed(task) else task)
+        }
         pool.allowCoreThreadTimeOut(true)
-        server.createContext("/", HttpExchangeHandler(http))
-        server.executor = pool
-        return object : Http4kServer {
-            override fun start() = apply { server.start() }
-            override fun stop() = apply {
-                server.stop(0)
-                pool.shutdownNow()
-            }
+        return pool
+    }
 
-            override fun port() = server.address.port
+    /** The exchange is answered by another thread; the one that read it is free for the next. */
+    private fun handOver(exchange: HttpExchange, handler: JdkHandler, lane: ThreadPoolExecutor) {
+        try {
+            lane.execute { answer(exchange, handler) }
+        } catch (e: RejectedExecutionException) {
+            log.debug("a request is refused: {}", e.message)
+            exchange.responseHeaders.add("Retry-After", "1")
+            exchange.sendResponseHeaders(HttpURLConnection.HTTP_UNAVAILABLE, NO_BODY)
+            exchange.close()
+        }
+    }
+
+    private fun answer(exchange: HttpExchange, handler: JdkHandler) {
+        try {
+            handler.handle(exchange)
+        } catch (e: IOException) {
+            log.debug("an answer did not get out: {}", e.message)
+            exchange.close()
+        }
+    }
+
+    /** Tells at `debug` if [task] waits long for a thread. */
+    private fun timed(task: Runnable): Runnable {
+        val queuedAt = System.nanoTime()
+        return Runnable {
+            val waitedMs = (System.nanoTime() - queuedAt) / NANOS_PER_MS
+            if (waitedMs >= SLOW_MS) log.debug("a request waited {} ms for a thread", waitedMs)
+            task.run()
         }
     }
 
     private companion object {
         const val BACKLOG = 128
+        const val NO_BODY = -1L
         const val IDLE_S = 30L
         const val STACK_BYTES = 256L * 1024
     }
--- a/src/main/kotlin/mountmast/transport/Routes.kt
+++ b/src/main/kotlin/mountmast/transport/Routes.kt
@@ -16,30 +16,35 @@
 /** Path of submissions; a job has its own path below. */
 internal const val JOBS_PATH = "/v1/jobs"
 
+/** Path of workers' reports. */
+internal const val HEARTBEAT_PATH = "/agent/beat"
+
 /** Ends the path that cancels a job. */
 internal const val CANCEL_SUFFIX = "/cancel"
 
 /** Everything served to users, workers and health checks. */
-fun publicRoutes(users: UserService, beats: HeartbeatService, admission: AdmissionLimits): HttpHandler = guarded { request ->
-    val path = request.uri.path
-    when {
-        path == "/ready" -> request.only(Method.GET) {
-            if (users.ready()) json(200, "ready") else json(503, "not ready", retryAfterS = 1)
-        }
-        path == "/agent/beat" -> request.only(Method.POST) { heartbeat(request, beats) }
-        path == JOBS_PATH -> request.only(Method.POST) {
-            val body = request.boundedBody() ?: return@only json(400, refusal("body: over 64 KiB"))
-            admission.submissions.admit { users.submit(body, relayed = false) }.toResponse()
-        }
-        path.startsWith("$JOBS_PATH/") && path.endsWith(CANCEL_SUFFIX) -> request.only(Method.POST) {
-            users.cancel(path.removePrefix("$JOBS_PATH/").removeSuffix(CANCEL_SUFFIX), relayed = false).toResponse()
+fun publicRoutes(users: UserService, beats: HeartbeatService, admission: AdmissionLimits): HttpHandler = timed(
+    guarded { request ->
+        val path = request.uri.path
+        when {
+            path == "/ready" -> request.only(Method.GET) {
+                if (users.ready()) json(200, "ready") else json(503, "not ready", retryAfterS = 1)
+            }
+            path == HEARTBEAT_PATH -> request.only(Method.POST) { heartbeat(request, beats) }
+            path == JOBS_PATH -> request.only(Method.POST) {
+                val body = request.boundedBody() ?: return@only json(400, refusal("body: over 64 KiB"))
+                admission.submissions.admit { users.submit(body, relayed = false) }.toResponse()
+            }
+            path.startsWith("$JOBS_PATH/") && path.endsWith(CANCEL_SUFFIX) -> request.only(Method.POST) {
+                users.cancel(path.removePrefix("$JOBS_PATH/").removeSuffix(CANCEL_SUFFIX), relayed = false).toResponse()
+            }
+            path.startsWith("$JOBS_PATH/") -> request.only(Method.GET) {
+                admission.polls.admit { users.status(path.removePrefix("$JOBS_PATH/"), relayed = false) }.toResponse()
+            }
+            else -> json(404, refusal("no such path"))
         }
-        path.startsWith("$JOBS_PATH/") -> request.only(Method.GET) {
-            admission.polls.admit { users.status(path.removePrefix("$JOBS_PATH/"), relayed = false) }.toResponse()
-        }
-        else -> json(404, refusal("no such path"))
-    }
-}
+    },
+)
 
 private fun heartbeat(request: Request, beats: HeartbeatService): Response {
     val body = request.boundedBody() ?: return json(400, refusal("body: over 64 KiB"))
--- a/src/test/kotlin/mountmast/transport/BoundedServerTest.kt
+++ b/src/test/kotlin/mountmast/transport/BoundedServerTest.kt
@@ -6,8 +6,10 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import java.net.HttpURLConnection
 import java.net.InetAddress
 import java.net.InetSocketAddress
+import java.net.URI
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -50,6 +52,37 @@
         server.stop()
     }
 
+    @Test
+    fun `a lane that is full refuses at once with a time to come back, and keeps nobody else from being served`() {
+        val entered = CountDownLatch(1)
+        val release = CountDownLatch(1)
+        val lane = RequestLane("/slow", threads = 1, waiting = 2)
+        val server = { request: org.http4k.core.Request ->
+            if (request.uri.path == "/slow") {
+                entered.countDown()
+                release.await(20, TimeUnit.SECONDS)
+            }
+            Response(Status.OK).body("served")
+        }.asServer(BoundedServer(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), "test", THREADS, WAITING, listOf(lane))).start()
+        val at = InetSocketAddress(InetAddress.getLoopbackAddress(), server.port())
+        val answers = ConcurrentLinkedQueue<Int>()
+        fun askSlow() = thread { answers += HttpCaller().call(at, "GET", "/slow", null, 30_000).status }
+        val first = askSlow()
+        assertTrue(entered.await(10, TimeUnit.SECONDS))
+        // More than the server has threads: none of them is held.
+        val rest = List(THREADS + 6) { askSlow() }
+        while (answers.size < THREADS + 6 - 2) Thread.sleep(10)
+        assertEquals(List(THREADS + 6 - 2) { 503 }, answers.toList())
+        repeat(5) { assertEquals("served", HttpCaller().call(at, "GET", "/", null, 5000).text) }
+        val refused = URI("http://127.0.0.1:${server.port()}/slow").toURL().openConnection() as HttpURLConnection
+        assertEquals(503 to "1", refused.responseCode to refused.getHeaderField("Retry-After"))
+        release.countDown()
+        (rest + first).forEach { it.join() }
+        assertEquals(3, answers.count { it == 200 })
+        assertEquals(200, HttpCaller().call(at, "GET", "/slow", null, 5000).status)
+        server.stop()
+    }
+
     private companion object {
         const val THREADS = 2
         const val WAITING = 3
