Every node hears of the jobs that others accept, so that submissions which name them need no reading

Each node now follows the live jobs (one request for as many changes as come within 0.25 s, at least one in 10 s), and notes what it accepted itself. Nothing rests on it: what is not known is read as before, and what is answered is compared with the store as before.

--- a/src/main/kotlin/mountmast/coordination/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/Controller.kt
@@ -63,6 +63,8 @@
     /** What users may ask of this node. */
     val users: UserService get() = jobService
 
+    private val jobWatch = JobWatch(store, jobService::noteRecord)
+
     private class LeaderComponents(val leaderTerm: LeaderTerm, val writer: LedgerWriter, val fleet: Fleet)
 
     private val leaderComponents = AtomicReference<LeaderComponents?>()
@@ -148,7 +150,9 @@
         if (current?.leaderTerm?.grant === grant) return
         store.shareAs(leader = true)
         val leaderTerm =
-            LeaderTerm(grant, store, workers, settings.teams, policy, timing, clock, { it in notices }, prerequisiteLists)
+            LeaderTerm(
+                grant, store, workers, settings.teams, policy, timing, clock, { it in notices }, prerequisiteLists, jobService::noteRecord,
+            )
         val writer = LedgerWriter(leaderTerm, store, settings.stateLimits, clock, { formats.isCurrent }) { leadership.lost() }
         val fleet = Fleet(leaderTerm, cloud, clock, "${settings.node}-$run-${grant.term}", fleetPolicy, timing, settings.cloudRps)
         leaderComponents.set(LeaderComponents(leaderTerm, writer, fleet))
@@ -190,6 +194,9 @@
         }
     }
 
+    /** Hears of the jobs that other nodes accept, while this node does not lead; false where there is nothing to wait for. */
+    fun watchJobs(waitMs: Long): Boolean = leaderComponents.get() == null && jobWatch.step(waitMs)
+
     /** Learns what became of jobs that others wait for; false where there was nothing to learn. */
     fun resolvePrerequisites(): Boolean {
         val leaderTerm = leaderTerm() ?: return false
--- a/src/main/kotlin/mountmast/coordination/JobReader.kt
+++ b/src/main/kotlin/mountmast/coordination/JobReader.kt
@@ -77,8 +77,10 @@
     /** The record of [id] as it was last read, if it was not over then: what never changes in it may be used. */
     fun lastSeen(id: JobId): JobRecord? = seen.getIfPresent(id)?.record
 
-    /** Takes note of a record that was read elsewhere. */
-    fun note(record: JobRecord, stamp: Stamp) = seen.put(record.spec.id, Seen(record, stamp))
+    /** Takes note of a record that was read elsewhere, unless a newer one is known. */
+    fun note(record: JobRecord, stamp: Stamp) {
+        seen.asMap().merge(record.spec.id, Seen(record, stamp)) { old, new -> if (new.stamp.number > old.stamp.number) new else old }
+    }
 
     private fun await(question: Question): Map<JobId, JobState>? = try {
         question.answer.get(maxWaitMs, TimeUnit.MILLISECONDS)
--- a/src/main/kotlin/mountmast/coordination/JobService.kt
+++ b/src/main/kotlin/mountmast/coordination/JobService.kt
@@ -75,6 +75,9 @@
         types = TypesForm.read(store)?.types ?: return
     }
 
+    /** Takes note of the record of a live job that was read elsewhere. */
+    fun noteRecord(record: JobRecord, stamp: Stamp) = reader.note(record, stamp)
+
     override fun ready() = isReady()
 
     override fun submit(body: String, relayed: Boolean): UserAnswer {
@@ -121,8 +124,12 @@
             listOf(Condition(Keys.job(id), Stamp.ABSENT), Condition(Keys.over(id), Stamp.ABSENT)),
             listOf(Write.Put(Keys.job(id), WireJson.encodeToJsonElement(stored))),
         )
-        return when (store.commit(transaction)) {
-            is CommitOutcome.Committed -> UserAnswer(201, encode(JobAnswer(id, JobStatus.PENDING)))
+        return when (val outcome = store.commit(transaction)) {
+            is CommitOutcome.Committed -> {
+                // Its user may name it in the next submission at once.
+                noteRecord(stored, Stamp(outcome.revision.number))
+                UserAnswer(201, encode(JobAnswer(id, JobStatus.PENDING)))
+            }
             is CommitOutcome.Conflict -> lookUp(id) ?: later("try again")
         }
     }
--- a/src/main/kotlin/mountmast/coordination/LeaderTerm.kt
+++ b/src/main/kotlin/mountmast/coordination/LeaderTerm.kt
@@ -51,6 +51,8 @@
     /** Whether another node told of a job's cancellation. */
     private val isCancelled: (JobId) -> Boolean = { false },
     private val prerequisiteLists: PrerequisiteLists,
+    /** Told of each record of a live job that is read. */
+    private val onJobRecord: (JobRecord, Stamp) -> Unit = { _, _ -> },
 ) {
     /** Guards the ledger and everything below. Held for moments; never during I/O. */
     val lock = ReentrantLock()
@@ -204,6 +206,7 @@
                     val value = change.value ?: continue
                     val id = Keys.jobOfKey(change.key) ?: continue
                     val record = decode<JobRecord>(change.key, value) ?: continue
+                    onJobRecord(record, change.stamp)
                     // The stamp shows whether this is news: what was written first may be seen last.
                     val known = ledger.jobs[id]
                     if (known == null || change.stamp.number > known.stamp.number) takeIn(record, change.stamp)
--- a/src/main/kotlin/mountmast/coordination/Node.kt
+++ b/src/main/kotlin/mountmast/coordination/Node.kt
@@ -53,6 +53,7 @@
             PULSE_MS
         }
         loop("loader") { if (controller.load()) 0 else IDLE_MS }
+        loop("job-watch") { if (controller.watchJobs(WATCH_MS)) WATCH_GAP_MS else FAILED_MS }
         loop("greeter") {
             controller.greet()
             GREET_MS
@@ -133,6 +134,10 @@
         /** Short, since what is known of cancellations is as old as the call that waits for more. */
         const val FOLLOW_MS = 2000L
         const val FOLLOW_GAP_MS = 150L
+
+        /** A node that does not lead has a small share of the requests, and nothing rests on how old its watch is. */
+        const val WATCH_MS = 10_000L
+        const val WATCH_GAP_MS = 250L
         const val FLEET_MS = 1000L
         const val PREREQUISITES_MS = 200L
         const val POST_WAIT_MS = 1000L
--- /dev/null
+++ b/src/test/kotlin/mountmast/coordination/JobWatchTest.kt
@@ -0,0 +1,81 @@
+package mountmast.coordination
+
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.encodeToJsonElement
+import mountmast.protocol.JobId
+import mountmast.protocol.Stamp
+import mountmast.protocol.WallTime
+import mountmast.protocol.WireJson
+import mountmast.standin.StandInStore
+import mountmast.standin.Trouble
+import mountmast.standin.VirtualTime
+import mountmast.standin.World
+import mountmast.storage.JobRecord
+import mountmast.storage.Keys
+import mountmast.storage.Transaction
+import mountmast.storage.Write
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+class JobWatchTest {
+    private val time = VirtualTime()
+    private val standIn = StandInStore(time, keptChanges = 10)
+    private val trouble = Trouble(time)
+    private val store = standIn.View(Random(1), trouble)
+    private val heard = ArrayList<Pair<JobId, Stamp>>()
+    private val watch = JobWatch(store) { record, stamp -> heard += record.spec.id to stamp }
+    private val jobs = (1..30).map { World(1).job(it) }
+
+    private fun put(key: String, value: JsonElement) = store.commit(Transaction(emptyList(), listOf(Write.Put(key, value))))
+
+    private fun accept(number: Int) = put(Keys.job(jobs[number].id), WireJson.encodeToJsonElement(JobRecord(jobs[number], WallTime(0))))
+
+    @Test
+    fun `what is accepted from now on is heard once, and nothing else`() {
+        accept(0)
+        assertTrue(watch.step(0))
+        put(Keys.TYPES, JsonPrimitive(1))
+        accept(1)
+        store.commit(Transaction(emptyList(), listOf(Write.Delete(Keys.job(jobs[0].id)))))
+        accept(2)
+        repeat(3) { assertTrue(watch.step(0)) }
+        assertEquals(listOf(jobs[1].id, jobs[2].id), heard.map { it.first })
+        assertEquals(store.get(Keys.job(jobs[2].id))?.stamp, heard.last().second)
+    }
+
+    @Test
+    fun `a record that cannot be read is passed over, and an outage or too many changes end nothing`() {
+        assertTrue(watch.step(0))
+        put(Keys.job(jobs[3].id), JsonPrimitive("later"))
+        accept(4)
+        assertTrue(watch.step(0))
+        assertEquals(listOf(jobs[4].id), heard.map { it.first })
+        trouble.storeRefusedUntil = time.now + 1000
+        assertFalse(watch.step(0))
+        time.advance(2000)
+        // More changes than the service keeps: those are not heard, later ones are.
+        (5..25).forEach(::accept)
+        store.get(Keys.TERM)
+        repeat(2) { watch.step(0) }
+        accept(26)
+        watch.step(0)
+        assertEquals(jobs[26].id, heard.last().first)
+    }
+
+    @Test
+    fun `a submission that names jobs which another node accepted is written without reading them first`() {
+        val world = World(1, quietNetwork = true)
+        val first = (1..3).map { world.accept(world.plainJob(it)) }
+        world.run(5000, busy = false)
+        for (seat in world.seats) {
+            val spec = world.plainJob(10 + seat.number) { it.copy(prerequisites = first) }
+            val before = world.store.requests
+            world.users.submit(spec, seat)
+            assertEquals(1, world.store.requests - before, "${seat.name}")
+        }
+    }
+}
--- a/src/test/kotlin/mountmast/coordination/LargeFleetTest.kt
+++ b/src/test/kotlin/mountmast/coordination/LargeFleetTest.kt
@@ -14,7 +14,10 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
-/** Some 4,000 machines with 32,000 tasks: filled, reconnecting, taken over, cut, under falling limits. The rules are checked after each step. */
+/**
+ * Some 4,000 machines with 32,000 tasks: filled, reconnecting, taken over, cut, under falling limits. The rules are checked after
+ * each step.
+ */
 class LargeFleetTest {
     private val limits = FallingLimits(StateLimits(500.0, 80.0, 8.0, 16), StateLimits(500.0, 80.0, 2.0, 8), fallsAtMs = 95_000)
     private val world = World(91, quietNetwork = true, perOffer = 525, limits = limits)
--- a/src/test/kotlin/mountmast/standin/ControllerSeat.kt
+++ b/src/test/kotlin/mountmast/standin/ControllerSeat.kt
@@ -73,6 +73,7 @@
         Step(100L) { running.write() },
         Step(150L) { if (running.follow(0)) running.resolvePrerequisites() },
         Step(1000L) { running.manageFleet() },
+        Step(300L) { running.watchJobs(0) },
         Step(100L) { while (running.post(0) || running.call()) Unit },
     )
 
@@ -104,7 +105,8 @@
     }
 
     private companion object {
-        const val STEPS = 8
+        /** As many as [steps] lists. */
+        const val STEPS = 9
         const val LOSS_RATE = 0.01
         const val DRIFT = 0.0005
         const val CLOCK_OFF_MS = 20L
--- a/src/test/kotlin/mountmast/standin/Users.kt
+++ b/src/test/kotlin/mountmast/standin/Users.kt
@@ -50,10 +50,11 @@
     }
 
     /** The status that the submission of [spec] gets, or null where no answer comes in time. */
-    fun submit(spec: JobSpec): Int? {
+    fun submit(spec: JobSpec, at: ControllerSeat? = null): Int? {
         jobs[spec.id] = spec
         rules.submitting(spec, time.now)
-        val answer = ask(spec.id, SUBMIT_WAITS_MS) { it.users.submit(WireJson.encodeToString(spec), relayed = false) } ?: return null
+        val answer =
+            ask(spec.id, SUBMIT_WAITS_MS, at) { it.users.submit(WireJson.encodeToString(spec), relayed = false) } ?: return null
         rules.submissionAnswered(spec.id, answer.status)
         if (answer.status in 200..201) accepted += spec.id
         answer.state()?.let { rules.statusAnswered(spec.id, answer.status, it, time.now) }
