--- a/src/main/kotlin/mountmast/coordination/Timing.kt
+++ b/src/main/kotlin/mountmast/coordination/Timing.kt
@@ -20,9 +20,10 @@
 
     /**
      * A worker that was silent for so long has left out a report: two of the longest intervals, and the pause before it
-     * tries another node.
+     * tries another node. A leader that no worker reaches resigns after as long; where leases are short a longer time would leave
+     * its successor none to renew them in.
      */
-    val quietMs: Long get() = maxOf(MIN_QUIET_MS, (reportMs * QUIET_REPORTS).toLong() + RETRY_MS)
+    val quietMs: Long get() = (reportMs * QUIET_REPORTS).toLong() + RETRY_MS
 
     /** How long a cancellation that another node told of is kept in mind: until all tasks of the job are gone for certain. */
     val noticesMs: Long get() = 2 * (informedMs + leaseOverMs)
@@ -45,7 +46,6 @@
     companion object {
         private const val MARGIN_MS = 500L
         private const val MAX_HELP_MS = 8000L
-        private const val MIN_QUIET_MS = 6000L
         private const val RETRY_MS = 1000L
         private const val QUIET_REPORTS = 2.5
         private const val TTL_LEASE_SHARE = 0.35
