--- a/src/test/kotlin/mountmast/coordination/CombinedFailuresTest.kt
+++ b/src/test/kotlin/mountmast/coordination/CombinedFailuresTest.kt
@@ -1,10 +1,12 @@
 package mountmast.coordination
 
+import mountmast.protocol.ImageId
 import mountmast.protocol.JobId
 import mountmast.protocol.JobSpec
 import mountmast.protocol.JobStatus
 import mountmast.protocol.TeamId
 import mountmast.standin.ControllerSeat
+import mountmast.standin.StandInWorker
 import mountmast.standin.World
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -263,6 +265,28 @@
         world.expectDone(listOf(more), 60_000)
     }
 
+    @Test
+    fun `a machine that has left out two reports gets no work while its lease still runs`() = meeting(jobs = 2) {
+        fun tiny(number: Int) =
+            world.longJob(number) { it.copy(tasks = 1, cpus = 0.05, memoryGb = 0.05, image = ImageId("probe"), imageGb = 0.1) }
+        fun StandInWorker.has(id: JobId) = report().tasks.any { it.task.startsWith(id.text) }
+        val probe = world.accept(tiny(60))
+        repeat(400) { if (world.rules.startsOf(probe) == 0) world.run(100, busy = false) }
+        // It holds the image, so another of the same goes there as well.
+        val chosen = world.cloud.workers.single { it.alive && it.has(probe) }
+        val again = world.accept(tiny(61))
+        repeat(400) { if (world.rules.startsOf(again) == 0) world.run(100, busy = false) }
+        assertTrue(chosen.has(again), "the scheduler prefers another machine")
+        chosen.muteUntil = world.time.now + 60_000
+        world.run(4800, busy = false)
+        val late = world.accept(tiny(62))
+        world.run(1000, busy = false)
+        val ledger = checkNotNull(leading.controller?.leaderTerm()).ledger
+        val assigned = checkNotNull(ledger.machines[chosen.id]).live.values.map { it.job.id }
+        assertTrue(probe in assigned, "its lease is over already")
+        assertTrue(late !in assigned, "a machine that loses all with its lease gets work")
+    }
+
     @Test
     fun `machines that never come up are replaced, elsewhere where many are late, and rentals do not run away`() =
         (1L..3L).forEach { seed ->
--- a/src/test/kotlin/mountmast/knownred/KnownRedList.kt
+++ b/src/test/kotlin/mountmast/knownred/KnownRedList.kt
@@ -39,6 +39,7 @@
 
     companion object {
         const val MAX_ENTRIES = 3
+        private const val COMMENT = "#"
         val PROJECT_FILE: Path = Path.of("KNOWN-RED.txt")
 
         /** Reads [file]; one that does not exist lists nothing. */
@@ -46,7 +47,7 @@
             parse(if (Files.exists(file)) Files.readAllLines(file) else emptyList(), isTest)
 
         fun parse(lines: List<String>, isTest: (TestName) -> Boolean = TestName::isRunByBuild): KnownRedList {
-            val written = lines.filter { it.isNotBlank() }
+            val written = lines.filter { it.isNotBlank() && !it.startsWith(COMMENT) }
             val entries = written.mapNotNull(::parseLine)
             val problems = written.filter { parseLine(it) == null }.map { "not of the form 'Class#method | cause | issue': $it" } +
                 entries.filterNot { isTest(it.test) }.map { "no such test: ${it.test}" } +
--- a/src/test/kotlin/mountmast/knownred/KnownRedTest.kt
+++ b/src/test/kotlin/mountmast/knownred/KnownRedTest.kt
@@ -129,6 +129,13 @@
         assertEquals(listOf("listed more than once: A#b"), KnownRedList.parse(List(2) { "A#b | cause | 1" }) { true }.problems)
     }
 
+    @Test
+    fun `a comment lists nothing and is no problem`() {
+        val list = KnownRedList.parse(listOf("# none at present", "", "A#b | cause | 1")) { true }
+        assertEquals(1, list.entries.size)
+        assertEquals(emptyList<String>(), list.problems)
+    }
+
     @Test
     fun `no file lists nothing, and a file its lines`(@TempDir directory: Path) {
         val file = directory.resolve("KNOWN-RED.txt")
