LeaderTerm, Ledger, LedgerWriter and Controller are split by what each part owns

No change of behaviour. The leader's term: its signals, its live jobs, what it loads, workers' reports, passes. The writer: watermark, conflicts.

--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/ConflictResolver.kt
@@ -0,0 +1,49 @@
+package mountmast.coordination
+
+import kotlinx.serialization.json.decodeFromJsonElement
+import mountmast.protocol.WireJson
+import mountmast.storage.JobRecord
+import mountmast.storage.Keys
+import mountmast.storage.OverRecord
+import mountmast.storage.SnapshotRecord
+import mountmast.storage.StateStore
+import org.slf4j.LoggerFactory
+import kotlin.concurrent.withLock
+
+private val log = LoggerFactory.getLogger("mountmast.writer")
+
+/**
+ * Learns what the store has under keys that were found changed, instead of what the leader expected there. Throws
+ * `StoreException` where it cannot be read, and `IllegalArgumentException` where a record is unreadable. Takes the
+ * [LeaderTerm]'s lock, but not during a call.
+ */
+class ConflictResolver(private val leaderTerm: LeaderTerm, private val store: StateStore, private val snapshots: SnapshotWriter) {
+    fun resolve(key: String) {
+        when {
+            key.startsWith(Keys.JOBS) -> resolveJob(key)
+            // A snapshot's last step may have been carried out without an answer.
+            key == Keys.SNAPSHOT -> resolveSnapshot()
+            else -> log.error("{} was changed by somebody else", key)
+        }
+    }
+
+    private fun resolveJob(key: String) {
+        val id = Keys.jobOfKey(key) ?: return
+        val entry = store.get(key)
+        val over = if (entry == null) store.get(Keys.over(id)) else null
+        leaderTerm.lock.withLock {
+            val job = leaderTerm.ledger.jobs[id] ?: return
+            when {
+                entry != null -> leaderTerm.jobs.takeIn(WireJson.decodeFromJsonElement<JobRecord>(entry.value), entry.stamp)
+                over != null -> leaderTerm.jobs.over(job, WireJson.decodeFromJsonElement<OverRecord>(over.value))
+                else -> log.error("job {} is in the store no more", id)
+            }
+        }
+    }
+
+    private fun resolveSnapshot() {
+        val entry = store.get(Keys.SNAPSHOT) ?: return
+        val record = WireJson.decodeFromJsonElement<SnapshotRecord>(entry.value)
+        leaderTerm.lock.withLock { snapshots.became(record, entry.stamp) }
+    }
+}
--- a/src/main/kotlin/mountmast/coordination/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/Controller.kt
@@ -3,17 +3,10 @@
 import mountmast.protocol.Clock
 import mountmast.protocol.HeartbeatResponse
 import mountmast.protocol.JobId
-import mountmast.protocol.MachineId
-import mountmast.protocol.Member
 import mountmast.protocol.NodeId
-import mountmast.protocol.Order
 import mountmast.protocol.PeerHello
-import mountmast.protocol.RelayRequest
 import mountmast.protocol.Settings
-import mountmast.protocol.TaskId
-import mountmast.protocol.TaskState
 import mountmast.protocol.Term
-import mountmast.protocol.Verb
 import mountmast.protocol.WorkerReport
 import mountmast.storage.FORMAT_VERSION
 import mountmast.storage.PrerequisiteLists
@@ -24,11 +17,9 @@
 import mountmast.transport.HeartbeatService
 import mountmast.transport.PeerService
 import mountmast.transport.Peers
-import mountmast.transport.UserAnswer
 import mountmast.transport.UserService
 import mountmast.transport.Workers
 import org.slf4j.LoggerFactory
-import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicReference
 
 private val log = LoggerFactory.getLogger("mountmast.controller")
@@ -53,12 +44,14 @@
     private val timing = Timing.of(settings.leaseS, settings.cancelS, settings.clockOffMs, settings.reportS)
     private val leadership = Leadership(store, settings.node, run, timing, clock)
     private val notices = CancellationNotices(settings.members.map { it.node }, clock, timing.noticesMs)
+    private val helper = LeaseHelper(leadership, notices)
 
     /** Whether every node of the deployment reads the current forms. */
     val formats = FormatAgreement(store, settings.members.map { it.node })
+    private val peerStates = PeerStates(settings.members, peers, notices, clock, OwnState())
     private val prerequisiteLists = PrerequisiteLists(store, settings.stateLimits)
     private val jobService =
-        JobService(store, settings.teams, clock, ::relay, ::ready, ::tellCancelled, settings.stateLimits, { formats.isCurrent })
+        JobService(store, settings.teams, clock, peerStates::relay, ::ready, ::tellCancelled, settings.stateLimits, { formats.isCurrent })
 
     /** What users may ask of this node. */
     val users: UserService get() = jobService
@@ -68,17 +61,9 @@
     private class LeaderComponents(val leaderTerm: LeaderTerm, val writer: LedgerWriter, val fleet: Fleet)
 
     private val leaderComponents = AtomicReference<LeaderComponents?>()
-    private val hellos = ConcurrentHashMap<NodeId, Pair<PeerHello, Long>>()
-    private val helped = ConcurrentHashMap.newKeySet<MachineId>()
-
-    @Volatile
-    private var helpedIn = Term(0u)
     private var stepsSinceTypes = 0
     private var uninformedSteps = 0
 
-    @Volatile
-    private var greeted = false
-
     /** How late this process wakes from short sleeps, as a mean that forgets within seconds. */
     @Volatile
     private var lagMs = 0.0
@@ -97,8 +82,8 @@
         leadership.step()
         val leaderTerm = leaderComponents.get()?.leaderTerm
         // Cut off from the workers alone, in either direction, this node would renew for ever while their leases run out.
-        val why = leaderTerm?.unfit() ?: leaderTerm?.let(::whyUninformed)
-        if (leaderTerm != null && why != null && freshHellos().any { it.serves }) leadership.resign(leaderTerm.grant, why)
+        val why = leaderTerm?.reports?.unfit() ?: leaderTerm?.let(::whyUninformed)
+        if (leaderTerm != null && why != null && peerStates.serving() > 0) leadership.resign(leaderTerm.grant, why)
         syncLeaderComponents()
         weighUsers()
     }
@@ -134,7 +119,7 @@
      */
     private fun weighUsers() {
         val grant = leadership.grant()
-        val others = freshHellos().count { it.serves }
+        val others = peerStates.serving()
         declinesUsers = when {
             grant == null || others < maxOf(MIN_OTHERS, settings.members.size) -> false
             else -> declinesUsers || (lagMs > BUSY_LAG_MS && clock.now() - grant.electedAt > SETTLING_MS)
@@ -183,7 +168,7 @@
     fun pass() {
         val leaderTerm = leaderTerm() ?: return
         leaderTerm.pass()
-        leadership.confirmedUntil(leaderTerm.grant)?.let { leaderTerm.expireSilent(it) }
+        leadership.confirmedUntil(leaderTerm.grant)?.let { leaderTerm.reports.expireSilent(it) }
     }
 
     /** Writes what the ledger changed; false where there was nothing to write. */
@@ -193,7 +178,7 @@
     fun follow(waitMs: Long): Boolean {
         val leaderTerm = leaderTerm() ?: return false
         return try {
-            leaderTerm.followJobs(waitMs)
+            leaderTerm.jobs.follow(waitMs)
             true
         } catch (e: StoreException) {
             log.debug("following jobs: {}", e.message)
@@ -208,7 +193,7 @@
     fun resolvePrerequisites(): Boolean {
         val leaderTerm = leaderTerm() ?: return false
         return try {
-            leaderTerm.resolvePrerequisites()
+            leaderTerm.jobs.resolvePrerequisites()
         } catch (e: StoreException) {
             log.debug("looking up prerequisites: {}", e.message)
             false
@@ -230,87 +215,45 @@
 
     override fun heartbeat(report: WorkerReport): HeartbeatOutcome {
         leadership.heard(report.term)
-        val grant = leadership.grant() ?: return help(report) ?: HeartbeatOutcome.Elsewhere(leadership.leader())
+        val grant = leadership.grant() ?: return helper.help(report) ?: HeartbeatOutcome.Elsewhere(leadership.leader())
         val leaderTerm = leaderComponents.get()?.leaderTerm
         if (!leadership.mayAnswerWorkers() || report.term.election > grant.term.election) return HeartbeatOutcome.Elsewhere(null)
         if (leaderTerm == null || leaderTerm.grant !== grant || !leaderTerm.mayAnswerWorkers()) return HeartbeatOutcome.Elsewhere(null)
-        if (!leaderTerm.ready) return HeartbeatOutcome.Accepted(HeartbeatResponse(maxOf(grant.term, report.term), stopsOf(report)))
-        return HeartbeatOutcome.Accepted(leaderTerm.heartbeat(report))
-    }
-
-    /** Renews a worker's lease once for a leader that was elected a moment ago; its next report is sent there. */
-    private fun help(report: WorkerReport): HeartbeatOutcome? {
-        val term = leadership.helps() ?: return null
-        if (term != helpedIn) {
-            helped.clear()
-            helpedIn = term
-        }
-        if (report.term.election > term.election || helped.size >= MAX_HELPED || !helped.add(report.machine)) return null
-        return HeartbeatOutcome.Accepted(HeartbeatResponse(maxOf(term, report.term), stopsOf(report)))
-    }
-
-    /** What a node that does not know the jobs can tell a worker all the same: to stop what other nodes said is cancelled. */
-    private fun stopsOf(report: WorkerReport): List<Order> = report.tasks.mapNotNull { reported ->
-        val job = TaskId.parse(reported.task)?.job
-        if (reported.state == TaskState.EXITED || job == null || job !in notices) {
-            null
-        } else {
-            Order(Verb.STOP, reported.task, reported.attempt, 0.0)
-        }
+        if (!leaderTerm.ready) return HeartbeatOutcome.Accepted(HeartbeatResponse(maxOf(grant.term, report.term), helper.stopsOf(report)))
+        return HeartbeatOutcome.Accepted(leaderTerm.reports.heartbeat(report))
     }
 
     /** Before a user is told of a cancellation the leader is, if it can be reached, so that nothing of the job starts after it. */
     private fun tellCancelled(id: JobId) {
         notices.committed(id)
         val leaderTerm = leaderComponents.get()?.leaderTerm
-        if (leaderTerm != null) return leaderTerm.cancellationsHeard(listOf(id))
+        if (leaderTerm != null) return leaderTerm.jobs.cancellationsHeard(listOf(id))
         val leader = leadership.leader() ?: return
-        if (freshHellos().any { it.node == leader.text }) settings.members.firstOrNull { it.node == leader }?.let(::greet)
+        peerStates.greetIfHeard(leader)
     }
 
     /** Greets the other nodes. */
-    fun greet() {
-        settings.members.forEach(::greet)
-        greeted = true
-    }
-
-    private fun greet(member: Member) {
-        val told = notices.pendingFor(member.node)
-        val answer = peers.hello(member, ownHello().copy(cancelled = told.map { it.text })) ?: return
-        notices.acknowledged(member.node, told)
-        note(answer)
-    }
-
-    override fun hello(from: PeerHello): PeerHello {
-        note(from)
-        return ownHello()
-    }
-
-    private fun note(hello: PeerHello) {
-        hellos[NodeId(hello.node)] = hello to clock.now().ms
-        formats.heard(NodeId(hello.node), hello.formatVersion)
-        leadership.heard(Term(hello.term.toULong()))
-        val cancelled = hello.cancelled.mapNotNull(JobId::parse)
-        if (cancelled.isEmpty()) return
-        notices.heard(cancelled)
-        leaderComponents.get()?.leaderTerm?.cancellationsHeard(cancelled)
-    }
-
-    private fun ownHello() = PeerHello(
-        settings.node.text,
-        leadership.highestTerm().number.toLong(),
-        canServe(),
-        leadership.grant() != null,
-        formatVersion = FORMAT_VERSION,
-    )
-
-    private fun freshHellos() = hellos.values.filter { (_, at) -> clock.now().ms - at < HELLO_FRESH_MS }.map { it.first }
-
-    private fun relay(request: RelayRequest): UserAnswer? {
-        val able = freshHellos().firstOrNull { it.serves } ?: return null
-        val member = settings.members.firstOrNull { it.node.text == able.node } ?: return null
-        val answer = peers.relay(member, request) ?: return null
-        return UserAnswer(answer.status, answer.body, answer.retryAfterS)
+    fun greet() = peerStates.greetAll()
+
+    override fun hello(from: PeerHello): PeerHello = peerStates.greeted(from)
+
+    private inner class OwnState : PeerStates.Own {
+        override fun hello() = PeerHello(
+            settings.node.text,
+            leadership.highestTerm().number.toLong(),
+            canServe(),
+            leadership.grant() != null,
+            formatVersion = FORMAT_VERSION,
+        )
+
+        override fun onHello(hello: PeerHello) {
+            formats.heard(NodeId(hello.node), hello.formatVersion)
+            leadership.heard(Term(hello.term.toULong()))
+            val cancelled = hello.cancelled.mapNotNull(JobId::parse)
+            if (cancelled.isEmpty()) return
+            notices.heard(cancelled)
+            leaderComponents.get()?.leaderTerm?.jobs?.cancellationsHeard(cancelled)
+        }
     }
 
     private fun canServe() = jobService.knowsTypes && store.reachable
@@ -320,14 +263,12 @@
      * a node that called itself unready would only be passed over for longer once the trouble is past; and one that
      * has not asked the others yet cannot tell.
      */
-    private fun ready(): Boolean = if (canServe()) !declinesUsers else greeted && freshHellos().none { it.serves }
+    private fun ready(): Boolean = if (canServe()) !declinesUsers else peerStates.hasGreeted && peerStates.serving() == 0
 
     private companion object {
         const val CONFIRMED_MS = 2500L
-        const val HELLO_FRESH_MS = 6000L
         const val TYPES_STEPS = 30
         const val MAX_UNINFORMED_STEPS = 8
-        const val MAX_HELPED = 10_000
         const val LAG_WEIGHT = 0.03
         const val BUSY_LAG_MS = 25.0
         const val SETTLING_MS = 10_000L
--- a/src/main/kotlin/mountmast/coordination/FleetInventory.kt
+++ b/src/main/kotlin/mountmast/coordination/FleetInventory.kt
@@ -37,10 +37,10 @@
         typesReadAt = now
         leaderTerm.lock.withLock {
             val isChanged = withoutPrices(ledger.types.values) != withoutPrices(types)
-            leaderTerm.setTypes(MachineTypes(types))
+            ledger.replaceTypes(MachineTypes(types))
             if (isChanged) {
                 leaderTerm.pendingTypes = MachineTypes(types)
-                leaderTerm.wakeWriter()
+                leaderTerm.signals.wakeWriter()
             }
         }
     }
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/LeaseHelper.kt
@@ -0,0 +1,48 @@
+package mountmast.coordination
+
+import mountmast.protocol.HeartbeatResponse
+import mountmast.protocol.MachineId
+import mountmast.protocol.Order
+import mountmast.protocol.TaskId
+import mountmast.protocol.TaskState
+import mountmast.protocol.Term
+import mountmast.protocol.Verb
+import mountmast.protocol.WorkerReport
+import mountmast.transport.HeartbeatOutcome
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * Answers workers without knowing the jobs: in the name of a leader that was elected a moment ago and is too slow for all
+ * workers at once, or before a leader has read them. Thread-safe.
+ */
+class LeaseHelper(private val leadership: Leadership, private val notices: CancellationNotices) {
+    private val helped = ConcurrentHashMap.newKeySet<MachineId>()
+
+    @Volatile
+    private var helpedIn = Term(0u)
+
+    /** Renews a worker's lease once for a leader just elected, or returns null; the worker's next report is sent there. */
+    fun help(report: WorkerReport): HeartbeatOutcome? {
+        val term = leadership.helps() ?: return null
+        if (term != helpedIn) {
+            helped.clear()
+            helpedIn = term
+        }
+        if (report.term.election > term.election || helped.size >= MAX_HELPED || !helped.add(report.machine)) return null
+        return HeartbeatOutcome.Accepted(HeartbeatResponse(maxOf(term, report.term), stopsOf(report)))
+    }
+
+    /** What can be told all the same: to stop what other nodes said is cancelled. */
+    fun stopsOf(report: WorkerReport): List<Order> = report.tasks.mapNotNull { reported ->
+        val job = TaskId.parse(reported.task)?.job
+        if (reported.state == TaskState.EXITED || job == null || job !in notices) {
+            null
+        } else {
+            Order(Verb.STOP, reported.task, reported.attempt, 0.0)
+        }
+    }
+
+    private companion object {
+        const val MAX_HELPED = 10_000
+    }
+}
--- a/src/main/kotlin/mountmast/coordination/Ledger.kt
+++ b/src/main/kotlin/mountmast/coordination/Ledger.kt
@@ -1,32 +1,24 @@
 package mountmast.coordination
 
 import mountmast.protocol.Attempt
-import mountmast.protocol.ExitCause
 import mountmast.protocol.ImageId
 import mountmast.protocol.JobId
 import mountmast.protocol.MachineId
 import mountmast.protocol.MachineType
+import mountmast.protocol.MachineTypes
 import mountmast.protocol.MonotonicTime
 import mountmast.protocol.Resources
 import mountmast.protocol.Session
 import mountmast.protocol.Stamp
-import mountmast.protocol.TaskId
-import mountmast.protocol.TaskState
 import mountmast.protocol.TeamId
 import mountmast.protocol.Term
 import mountmast.protocol.TypeId
 import mountmast.protocol.WallTime
 import mountmast.protocol.WorkerReport
-import mountmast.protocol.Zone
 import mountmast.storage.JobRecord
 import mountmast.storage.JournalReader
 import mountmast.storage.JournalText
 import mountmast.storage.Ranges
-import mountmast.storage.TaskEnd
-import org.slf4j.LoggerFactory
-import java.util.BitSet
-
-private val log = LoggerFactory.getLogger("mountmast.ledger")
 
 /**
  * Everything the leader knows: jobs, tasks, machines and what each team uses. Not thread-safe: guarded by the
@@ -43,7 +35,7 @@
 
     /** Machines that were deleted, kept so that stale lists and late reports do not bring them back. */
     val tombstones = LinkedHashMap<MachineId, MonotonicTime>()
-    var types = LinkedHashMap<TypeId, MachineType>()
+    val types = LinkedHashMap<TypeId, MachineType>()
 
     /** Images of machines that were not heard from yet, as the leader before noted them. */
     val recalledImages = HashMap<MachineId, Map<ImageId, Double>>()
@@ -55,6 +47,8 @@
     /** Which machines and jobs fail or are slow. */
     val health = Health(this)
 
+    private val reports = ReportIntake(this)
+
     /** What is still to be written. */
     val unwritten = ArrayDeque<Unwritten>()
 
@@ -69,6 +63,12 @@
         lastAttempt = term.election shl ATTEMPT_BITS
     }
 
+    /** Takes over the machine types as the cloud or the store has them. */
+    fun replaceTypes(machineTypes: MachineTypes) {
+        types.clear()
+        for (type in machineTypes.types) types[type.id] = type
+    }
+
     /** What the tasks of [team] take that may be on a machine. */
     fun use(team: TeamId): Resources = uses[team] ?: Resources.NONE
 
@@ -93,58 +93,8 @@
         jobs.values.filter { it.cancelled && !it.nothingLives() }.minOfOrNull { it.cancelledAfter }?.let { minOf(it, knownUpTo) }
             ?: knownUpTo
 
-    /** Rebuilds from what earlier leaders wrote. */
-    fun replay(now: MonotonicTime) = object : JournalReader {
-        override fun done(job: JobId, ranges: String) {
-            val known = jobs[job] ?: return
-            val set = BitSet()
-            if (!Ranges.decodeInto(ranges, set, known.spec.tasks)) log.error("unreadable ranges of {}: {}", job, ranges)
-            set.stream().forEach(known::setDone)
-            if (known.isComplete) finishing += known
-        }
-
-        override fun evictedBefore(task: TaskId, times: Int) {
-            jobs[task.job]?.evictions?.put(task.index, times)
-        }
-
-        override fun started(task: TaskId, machine: MachineId, session: Session, attempt: Attempt, zone: Zone) {
-            // A job that is over by now has no record any more, and nothing of it runs.
-            val job = jobs[task.job] ?: return
-            if (task.index >= job.spec.tasks || job.done.get(task.index)) return
-            job.live.get(task.index)?.let { older ->
-                log.error("{} is listed twice, on {} and {}", task, older.machine, machine)
-                release(older, now)
-            }
-            val known = machines.getOrPut(machine) {
-                Machine(machine, null, null, false, MachineState.SILENT).apply {
-                    answeredAt = now
-                    heardAt = now
-                }
-            }
-            val assignment = Assignment(job, task.index, machine, session, attempt, zone, Phase.COMMITTED, now)
-            assignment.written = true
-            if (job.cancelled) assignment.stopGraceS = 0.0
-            add(assignment, known)
-        }
-
-        override fun ended(task: TaskId, end: TaskEnd) {
-            val job = jobs[task.job] ?: return
-            if (end == TaskEnd.DONE && task.index < job.spec.tasks) {
-                job.setDone(task.index)
-                if (job.isComplete) finishing += job
-            }
-            if (end == TaskEnd.EVICTED) job.evictions.addTo(task.index, 1)
-            job.live.get(task.index)?.let { release(it, now) }
-        }
-
-        override fun reserved(machine: MachineId, job: JobId, victims: List<TaskId>) {
-            for (victim in victims) {
-                val assignment = jobs[victim.job]?.live?.get(victim.index) ?: continue
-                assignment.stopGraceS = assignment.stopGraceS ?: assignment.job.spec.saveS
-                assignment.evicted = true
-            }
-        }
-    }
+    /** Takes in what earlier leaders wrote. */
+    fun replay(now: MonotonicTime): JournalReader = JournalReplay(this, now)
 
     /**
      * What the store holds by now of tasks and machines. What ended since is listed as live, and what is only intended is
@@ -172,7 +122,7 @@
             Phase.INTENDED,
             now,
         )
-        add(assignment, machine)
+        place(assignment, machine)
         machine.touchImage(job.spec.image, job.spec.imageGb, types[machine.type]?.cacheGb ?: 0.0)
         job.lastProgress = now
         job.lastStallReport = null
@@ -180,7 +130,8 @@
         return assignment
     }
 
-    private fun add(assignment: Assignment, machine: Machine) {
+    /** Notes that [assignment] takes its room on [machine]. */
+    internal fun place(assignment: Assignment, machine: Machine) {
         val job = assignment.job
         job.live.put(assignment.index, assignment)
         job.setOpen(assignment.index, false)
@@ -250,92 +201,10 @@
      * Takes in a worker's report. Returns false where it is older than what is known already.
      * What it says of exits and sessions is final, so it needs no proof of being recent.
      */
-    fun report(report: WorkerReport, now: MonotonicTime): Boolean {
-        if (report.machine in tombstones) return false
-        var machine = machines[report.machine]
-        if (machine == null || machine.type == null) {
-            val known = Machine(report.machine, report.type, report.zone, report.spot, MachineState.UP)
-            known.rentedAt = machine?.rentedAt ?: now
-            known.knownAt = machine?.knownAt ?: now
-            known.idleSince = now
-            machine?.let(known::takeOver)
-            recalledImages.remove(report.machine)?.let(known::recallImages)
-            machines[report.machine] = known
-            machine = known
-        }
-        val session = machine.session
-        if (session != null && (report.session < session || (report.session == session && report.reportNumber <= machine.reportNumber))) {
-            return false
-        }
-        if (session == null || report.session > session) {
-            endSession(machine, report.session)
-            machine.mayStillStart.clear()
-            machine.session = report.session
-            machine.sessionSince = now
-            machine.answeredReport = null
-            // A session that nobody answered yet lives a full lease from its beginning, which may have been just now.
-            machine.answeredAt = now
-        }
-        if (machine.state != MachineState.UP) {
-            machine.state = MachineState.UP
-            machine.idleSince = now
-        }
-        machine.reportNumber = report.reportNumber
-        machine.address = report.address
-        machine.heardAt = now
-        if (report.noticeS != null && !machine.noticed) {
-            machine.noticed = true
-            machine.noticeS = report.noticeS
-            log.info("machine {} will be taken in {} s", machine.id, report.noticeS)
-        }
-        readTasks(machine, report, now)
-        return true
-    }
-
-    private fun readTasks(machine: Machine, report: WorkerReport, now: MonotonicTime) {
-        val unknownTasks = ArrayList<UnknownTask>()
-        for (reported in report.tasks) {
-            val assignment = machine.live[reported.task]
-            if (assignment == null || assignment.attempt != reported.attempt || assignment.session != report.session) {
-                unknownTasks += UnknownTask(
-                    reported.task,
-                    reported.attempt,
-                    reported.state == TaskState.EXITED,
-                    reported.cause == ExitCause.DONE,
-                )
-                continue
-            }
-            if (assignment.phase >= Phase.ENDED) continue
-            if (reported.state == TaskState.RUNNING && assignment.runningSince == null) assignment.runningSince = now
-            assignment.reported = reported.state
-            if (reported.state == TaskState.EXITED) exited(machine, assignment, reported.cause, now)
-        }
-        machine.unknownTasks = unknownTasks
-    }
-
-    private fun exited(machine: Machine, assignment: Assignment, cause: ExitCause?, now: MonotonicTime) {
-        val job = assignment.job
-        end(assignment, completed = cause == ExitCause.DONE)
-        when (cause) {
-            ExitCause.DONE -> {
-                machine.strikes.clear()
-                job.failedOn.clear()
-                job.failures = 0
-                assignment.runningSince?.let { since ->
-                    val runS = (now - since) / 1000.0
-                    learnRun(job.spec.team, runS)
-                    health.completedIn(machine, assignment, runS)
-                }
-            }
-            ExitCause.FAILED -> health.failed(machine, job, now)
-            // The worker's room and the ledger's differ for a moment, for instance while a killed task saves.
-            ExitCause.NO_ROOM, ExitCause.BUSY -> machine.notBefore = now + REFUSED_PAUSE_MS
-            ExitCause.UNKNOWN -> job.notBefore = now + REFUSED_PAUSE_MS
-            else -> {}
-        }
-    }
+    fun report(report: WorkerReport, now: MonotonicTime): Boolean = reports.take(report, now)
 
-    private fun learnRun(team: TeamId, runS: Double) {
+    /** A task of [team] ran for [runS]. */
+    fun learnRun(team: TeamId, runS: Double) {
         meanRunS.merge(team, runS) { old, new -> old * runDecay + new * (1 - runDecay) }
     }
 
@@ -345,7 +214,6 @@
     private companion object {
         const val ATTEMPT_BITS = 32
         const val LONGEST_RANGES = 300
-        const val REFUSED_PAUSE_MS = 1000L
         const val UNKNOWN_RUN_S = 60.0
     }
 }
--- a/src/main/kotlin/mountmast/coordination/LedgerWriter.kt
+++ b/src/main/kotlin/mountmast/coordination/LedgerWriter.kt
@@ -8,22 +8,18 @@
 import mountmast.protocol.Shape
 import mountmast.protocol.Stamp
 import mountmast.protocol.StateLimits
-import mountmast.protocol.WallTime
 import mountmast.protocol.WireJson
 import mountmast.storage.CommitOutcome
 import mountmast.storage.Condition
 import mountmast.storage.Entry
-import mountmast.storage.JobRecord
 import mountmast.storage.JournalRecord
 import mountmast.storage.Keys
 import mountmast.storage.OverRecord
-import mountmast.storage.SnapshotRecord
 import mountmast.storage.StateStore
 import mountmast.storage.StoreException
 import mountmast.storage.StoreRejected
 import mountmast.storage.StoreSilent
 import mountmast.storage.Transaction
-import mountmast.storage.WatermarkRecord
 import mountmast.storage.Write
 import org.slf4j.LoggerFactory
 import kotlin.concurrent.withLock
@@ -56,8 +52,8 @@
     private val progress = ProgressWriter(ledger, clock)
     private val failing = FailingJobsWriter(ledger, clock)
     private val images = ImagesWriter(ledger, clock)
-    private var watermarkNotBefore = MonotonicTime(0)
-    private var writtenWatermark: WallTime? = null
+    private val watermark = WatermarkWriter(leaderTerm, clock)
+    private val conflicts = ConflictResolver(leaderTerm, store, snapshots)
     private var endsFirst = false
     private var rejectedOnce = false
     private var pausedUntil = MonotonicTime(Long.MIN_VALUE / 2)
@@ -129,7 +125,7 @@
         endsFirst = !endsFirst
         addJournal(batch, size, ready.size, isCompact, isShort)
         for (job in ready) if (batch.room >= OPS_PER_END) addOver(batch, job)
-        addWatermark(batch)
+        watermark.addTo(batch)
         types.addTo(batch, limits, inParts = isCompact || rejectedOnce)
         snapshots.addTo(batch, limits, size, isCompact, isShort)
         if (!limits.isLeast) {
@@ -169,24 +165,12 @@
         return OverRecord(status, job.spec.tasks, clock.wall(), job.spec.shape == Shape.SERVICE)
     }
 
-    /** Tells the next leader, and those who help it, from when on there may be cancellations that no worker was told of. */
-    private fun addWatermark(batch: WriteBatch) {
-        val now = clock.now()
-        if (now < watermarkNotBefore || batch.room <= 0) return
-        watermarkNotBefore = now + WATERMARK_EVERY_MS
-        val watermark = leaderTerm.watermark()
-        if (watermark == writtenWatermark) return
-        writtenWatermark = watermark
-        batch.put(Keys.WATERMARK, WireJson.encodeToJsonElement(WatermarkRecord(watermark)))
-    }
-
     private fun putBack(batch: WriteBatch) {
         journal.putBack(batch.written)
         // What users are told went with it.
         progress.forget()
         failing.putBack()
-        watermarkNotBefore = MonotonicTime(0)
-        writtenWatermark = null
+        watermark.putBack()
     }
 
     private fun committed(batch: WriteBatch, stamp: Stamp) {
@@ -202,11 +186,11 @@
                 is Unwritten.Reserved -> {}
             }
         }
-        if (freed) leaderTerm.wakePlacement()
+        if (freed) leaderTerm.signals.wakePlacement()
         snapshots.committed(batch, stamp)
         for (end in batch.over) {
             log.debug("job {} is over", end.job.id)
-            leaderTerm.jobOver(end.job, end.record)
+            leaderTerm.jobs.over(end.job, end.record)
         }
         types.committed(batch)
     }
@@ -260,14 +244,7 @@
             unsettled = null
             fence = null
             leaderTerm.lock.withLock { putBack(batch) }
-            for (key in failed) {
-                when {
-                    key.startsWith(Keys.JOBS) -> resolveJob(key)
-                    // A snapshot's last step may have been carried out without an answer.
-                    key == Keys.SNAPSHOT -> resolveSnapshot()
-                    else -> log.error("{} was changed by somebody else", key)
-                }
-            }
+            failed.forEach(conflicts::resolve)
         } catch (e: StoreException) {
             log.debug("reading again: {}", e.message)
         } catch (e: IllegalArgumentException) {
@@ -287,33 +264,12 @@
 
     private fun isFence(entry: Entry) = fence?.let { WireJson.encodeToJsonElement(it.record) == entry.value } == true
 
-    private fun resolveJob(key: String) {
-        val id = Keys.jobOfKey(key) ?: return
-        val entry = store.get(key)
-        val over = if (entry == null) store.get(Keys.over(id)) else null
-        leaderTerm.lock.withLock {
-            val job = ledger.jobs[id] ?: return
-            when {
-                entry != null -> leaderTerm.takeIn(WireJson.decodeFromJsonElement<JobRecord>(entry.value), entry.stamp)
-                over != null -> leaderTerm.jobOver(job, WireJson.decodeFromJsonElement<OverRecord>(over.value))
-                else -> log.error("job {} is in the store no more", id)
-            }
-        }
-    }
-
-    private fun resolveSnapshot() {
-        val entry = store.get(Keys.SNAPSHOT) ?: return
-        val record = WireJson.decodeFromJsonElement<SnapshotRecord>(entry.value)
-        leaderTerm.lock.withLock { snapshots.became(record, entry.stamp) }
-    }
-
     private companion object {
         /** A job that is over is moved: one put and one delete. */
         const val OPS_PER_END = 2
 
         /** From so many changes on the journal leaves one to others. */
         const val MIN_SHARED_OPS = 3
-        const val WATERMARK_EVERY_MS = 2000L
         const val REJECTED_PAUSE_MS = 1000L
     }
 }
--- a/src/main/kotlin/mountmast/coordination/MachineReturns.kt
+++ b/src/main/kotlin/mountmast/coordination/MachineReturns.kt
@@ -39,7 +39,7 @@
         for (id in machines) ledger.markDeleted(id, clock.now())
         val forgotten = ledger.tombstones.entries.takeWhile { now - it.value > TOMBSTONE_MS }.map { it.key }
         ledger.tombstones.keys.removeAll(forgotten.toSet())
-        leaderTerm.wakeWriter()
+        leaderTerm.signals.wakeWriter()
     }
 
     private fun choose(now: MonotonicTime): List<MachineId> {
--- a/src/main/kotlin/mountmast/coordination/Node.kt
+++ b/src/main/kotlin/mountmast/coordination/Node.kt
@@ -68,7 +68,7 @@
     private fun startLeaderWork(sockets: Sockets) {
         whileLeading("pass", ::passAndWait)
         whileLeading("writer") { leaderTerm ->
-            if (!controller.write()) leaderTerm.awaitWritable(WRITE_IDLE_MS)
+            if (!controller.write()) leaderTerm.signals.awaitWritable(WRITE_IDLE_MS)
             WRITE_GAP_MS
         }
         whileLeading("follow") { if (controller.follow(FOLLOW_MS)) FOLLOW_GAP_MS else FAILED_MS }
@@ -86,7 +86,7 @@
         val began = System.nanoTime()
         controller.pass()
         val tookMs = (System.nanoTime() - began) / NANOS_PER_MS
-        leaderTerm.awaitPlacement(operators.policy.passMs)
+        leaderTerm.signals.awaitPlacement(operators.policy.passMs)
         // However large the ledger, passes leave most of the processor to the workers' reports.
         return maxOf(PASS_GAP_MS, tookMs * PASS_SHARE)
     }
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/ReportIntake.kt
@@ -0,0 +1,115 @@
+package mountmast.coordination
+
+import mountmast.protocol.ExitCause
+import mountmast.protocol.MonotonicTime
+import mountmast.protocol.ReportedTask
+import mountmast.protocol.TaskState
+import mountmast.protocol.WorkerReport
+import org.slf4j.LoggerFactory
+
+private val log = LoggerFactory.getLogger("mountmast.ledger")
+
+/** Brings what workers report into [ledger]. Guarded as the ledger is. */
+internal class ReportIntake(private val ledger: Ledger) {
+    /** Returns false where the report is older than what is known already. */
+    fun take(report: WorkerReport, now: MonotonicTime): Boolean {
+        if (report.machine in ledger.tombstones) return false
+        val machine = knownMachine(report, now)
+        if (!isNews(machine, report)) return false
+        if (machine.session.let { it == null || report.session > it }) beginSession(machine, report, now)
+        if (machine.state != MachineState.UP) {
+            machine.state = MachineState.UP
+            machine.idleSince = now
+        }
+        machine.reportNumber = report.reportNumber
+        machine.address = report.address
+        machine.heardAt = now
+        report.noticeS?.let { takeNotice(machine, it) }
+        readTasks(machine, report, now)
+        return true
+    }
+
+    /** The machine that reports; one that was known only by name gets its kind from the report. */
+    private fun knownMachine(report: WorkerReport, now: MonotonicTime): Machine {
+        val before = ledger.machines[report.machine]
+        if (before?.type != null) return before
+        val machine = Machine(report.machine, report.type, report.zone, report.spot, MachineState.UP)
+        machine.rentedAt = before?.rentedAt ?: now
+        machine.knownAt = before?.knownAt ?: now
+        machine.idleSince = now
+        before?.let(machine::takeOver)
+        ledger.recalledImages.remove(report.machine)?.let(machine::recallImages)
+        ledger.machines[report.machine] = machine
+        return machine
+    }
+
+    private fun isNews(machine: Machine, report: WorkerReport): Boolean {
+        val session = machine.session ?: return true
+        return report.session > session || (report.session == session && report.reportNumber > machine.reportNumber)
+    }
+
+    private fun beginSession(machine: Machine, report: WorkerReport, now: MonotonicTime) {
+        ledger.endSession(machine, report.session)
+        machine.mayStillStart.clear()
+        machine.session = report.session
+        machine.sessionSince = now
+        machine.answeredReport = null
+        // A session that nobody answered yet lives a full lease from its beginning, which may have been just now.
+        machine.answeredAt = now
+    }
+
+    private fun takeNotice(machine: Machine, noticeS: Double) {
+        if (machine.noticed) return
+        machine.noticed = true
+        machine.noticeS = noticeS
+        log.info("machine {} will be taken in {} s", machine.id, noticeS)
+    }
+
+    private fun readTasks(machine: Machine, report: WorkerReport, now: MonotonicTime) {
+        val unknownTasks = ArrayList<UnknownTask>()
+        for (reported in report.tasks) {
+            val assignment = machine.live[reported.task]?.takeIf { it.attempt == reported.attempt && it.session == report.session }
+            if (assignment == null) unknownTasks += unknown(reported) else readTask(machine, assignment, reported, now)
+        }
+        machine.unknownTasks = unknownTasks
+    }
+
+    private fun unknown(reported: ReportedTask) =
+        UnknownTask(reported.task, reported.attempt, reported.state == TaskState.EXITED, reported.cause == ExitCause.DONE)
+
+    private fun readTask(machine: Machine, assignment: Assignment, reported: ReportedTask, now: MonotonicTime) {
+        if (assignment.phase >= Phase.ENDED) return
+        if (reported.state == TaskState.RUNNING && assignment.runningSince == null) assignment.runningSince = now
+        assignment.reported = reported.state
+        if (reported.state == TaskState.EXITED) exited(machine, assignment, reported.cause, now)
+    }
+
+    private fun exited(machine: Machine, assignment: Assignment, cause: ExitCause?, now: MonotonicTime) {
+        val job = assignment.job
+        ledger.end(assignment, completed = cause == ExitCause.DONE)
+        when (cause) {
+            ExitCause.DONE -> completed(machine, assignment, now)
+            ExitCause.FAILED -> ledger.health.failed(machine, job, now)
+            // The worker's room and the ledger's differ for a moment, for instance while a killed task saves.
+            ExitCause.NO_ROOM, ExitCause.BUSY -> machine.notBefore = now + REFUSED_PAUSE_MS
+            ExitCause.UNKNOWN -> job.notBefore = now + REFUSED_PAUSE_MS
+            else -> {}
+        }
+    }
+
+    private fun completed(machine: Machine, assignment: Assignment, now: MonotonicTime) {
+        val job = assignment.job
+        machine.strikes.clear()
+        job.failedOn.clear()
+        job.failures = 0
+        val since = assignment.runningSince ?: return
+        val runS = (now - since) / MS_PER_S
+        ledger.learnRun(job.spec.team, runS)
+        ledger.health.completedIn(machine, assignment, runS)
+    }
+
+    private companion object {
+        const val REFUSED_PAUSE_MS = 1000L
+        const val MS_PER_S = 1000.0
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/SchedulingPasses.kt
@@ -0,0 +1,129 @@
+package mountmast.coordination
+
+import mountmast.protocol.Clock
+import mountmast.protocol.JobId
+import mountmast.protocol.MachineId
+import mountmast.protocol.MonotonicTime
+import mountmast.protocol.TeamId
+import org.slf4j.LoggerFactory
+
+private val log = LoggerFactory.getLogger("mountmast.leader")
+
+/** Brings what the [Scheduler] plans into the ledger, and stops what has to leave its machine. Guarded as its [Ledger] is. */
+class SchedulingPasses(
+    private val ledger: Ledger,
+    private val snapshots: SchedulingSnapshots,
+    private val dispatch: CommandDispatcher,
+    private val signals: TermSignals,
+    policy: Policy,
+    private val clock: Clock,
+) {
+    private val scheduler = Scheduler(policy)
+    private val delays = DelayReports(ledger)
+    private var assurance: Map<TeamId, Double> = emptyMap()
+    private var tidiedAt = MonotonicTime(Long.MIN_VALUE / 2)
+
+    /** Open tasks that found no machine in the last pass. */
+    var waiting: List<Waiting> = emptyList()
+        private set
+
+    /** One pass, of a leader that has read its state at [readyAt]. */
+    fun run(readyAt: MonotonicTime) {
+        signals.placementBegins()
+        val now = clock.now()
+        releaseReservations(now)
+        if (now - tidiedAt >= TIDY_MS) tidy(readyAt, now)
+        val plan = scheduler.plan(snapshots.take(now, assurance))
+        assurance = plan.assurance
+        waiting = plan.waiting
+        for (start in plan.starts) place(start, plan, now)
+        for (eviction in plan.evictions) evict(eviction, now)
+        for (reservation in plan.reservations) reserve(reservation.machine, reservation.forJob, now)
+        if (ledger.unwritten.isNotEmpty()) signals.wakeWriter()
+    }
+
+    private fun place(start: Start, plan: Plan, now: MonotonicTime) {
+        val job = ledger.jobs[start.job]?.takeIf { it.isReleased } ?: return
+        val machine = ledger.machines[start.machine] ?: return
+        if (log.isDebugEnabled) tellStart(start, job, machine, plan)
+        ledger.assign(job, start.index, machine, now)
+    }
+
+    private fun tellStart(start: Start, job: Job, machine: Machine, plan: Plan) = log.debug(
+        "{}/{} to {}, which {} its image; team {} has degree {}",
+        start.job,
+        start.index,
+        start.machine,
+        if (job.spec.image in machine.images) "holds" else "must fetch",
+        job.spec.team,
+        plan.assurance[job.spec.team],
+    )
+
+    /** What need not be looked at in each pass. */
+    private fun tidy(readyAt: MonotonicTime, now: MonotonicTime) {
+        tidiedAt = now
+        emptyNoticed(now)
+        ledger.health.noticeSlow(now)
+        emptyQuarantined()
+        dispatch.callWorkers(readyAt, now)
+        delays.tellStalls(waiting, now)
+        delays.tellLate { job -> snapshots.untilS(job.ownDue) }
+    }
+
+    private fun reserve(id: MachineId, job: JobId, now: MonotonicTime) {
+        val machine = ledger.machines[id] ?: return
+        machine.reservedFor = job
+        machine.reservedUntil = now + RESERVATION_MS
+    }
+
+    private fun evict(eviction: Eviction, now: MonotonicTime) {
+        val machine = ledger.machines[eviction.machine] ?: return
+        reserve(machine.id, eviction.forJob, now)
+        log.info("machine {} emptied for {}: {} tasks stopped", machine.id, eviction.forJob, eviction.victims.size)
+        val victims = ArrayList<String>()
+        for (assignment in machine.live.values) {
+            if (assignment.stopGraceS != null) continue
+            assignment.stopGraceS = assignment.job.spec.saveS
+            assignment.evicted = true
+            victims += assignment.taskName
+        }
+        // The pass's evictions go out in one state write, together with its starts.
+        victims.chunked(VICTIMS_PER_ENTRY).forEach { ledger.unwritten += Unwritten.Reserved(machine.id, eviction.forJob, it) }
+        dispatch.queue(machine.id)
+    }
+
+    /** Stops what would not complete before the cloud takes its machine, so that it saves and goes on elsewhere. */
+    private fun emptyNoticed(now: MonotonicTime) {
+        for (machine in ledger.machines.values) {
+            if (machine.noticed) stopOn(machine) { snapshots.remainingS(it, now) >= machine.noticeS }
+        }
+    }
+
+    /** A sick or slow machine's tasks are better begun again elsewhere; it is returned once it is empty. */
+    private fun emptyQuarantined() {
+        for (machine in ledger.machines.values) if (machine.quarantined) stopOn(machine) { true }
+    }
+
+    private inline fun stopOn(machine: Machine, which: (Assignment) -> Boolean) {
+        if (machine.state != MachineState.UP) return
+        for (assignment in machine.live.values) {
+            if (assignment.stopGraceS != null || assignment.phase != Phase.COMMITTED || !which(assignment)) continue
+            assignment.stopGraceS = assignment.job.spec.saveS
+            dispatch.queue(machine.id)
+        }
+    }
+
+    private fun releaseReservations(now: MonotonicTime) {
+        for (machine in ledger.machines.values) {
+            val job = machine.reservedFor ?: continue
+            val state = ledger.jobs[job]
+            if (state == null || state.cancelled || state.openCount == 0 || now > machine.reservedUntil) machine.reservedFor = null
+        }
+    }
+
+    private companion object {
+        const val RESERVATION_MS = 30_000L
+        const val TIDY_MS = 1000L
+        const val VICTIMS_PER_ENTRY = 16
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/StoredRecords.kt
@@ -0,0 +1,20 @@
+package mountmast.coordination
+
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.decodeFromJsonElement
+import mountmast.protocol.WireJson
+import org.slf4j.LoggerFactory
+
+/** Reads records of the state service; one that cannot be read is told to operators and left out. */
+object StoredRecords {
+    @PublishedApi
+    internal val log = LoggerFactory.getLogger("mountmast.leader")
+
+    /** The record that [key] holds as [value], or null where it cannot be read. */
+    inline fun <reified T> decode(key: String, value: JsonElement): T? = try {
+        WireJson.decodeFromJsonElement<T>(value)
+    } catch (e: IllegalArgumentException) {
+        log.error("unreadable record {}: {}", key, e.message)
+        null
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/WatermarkWriter.kt
@@ -0,0 +1,38 @@
+package mountmast.coordination
+
+import kotlinx.serialization.json.encodeToJsonElement
+import mountmast.protocol.Clock
+import mountmast.protocol.MonotonicTime
+import mountmast.protocol.WallTime
+import mountmast.protocol.WireJson
+import mountmast.storage.Keys
+import mountmast.storage.WatermarkRecord
+
+/**
+ * Tells the next leader, and those who help it, from when on there may be cancellations that no worker was told of. Guarded by
+ * the [LeaderTerm]'s lock.
+ */
+class WatermarkWriter(private val leaderTerm: LeaderTerm, private val clock: Clock) {
+    private var notBefore = MonotonicTime(0)
+    private var written: WallTime? = null
+
+    fun addTo(batch: WriteBatch) {
+        val now = clock.now()
+        if (now < notBefore || batch.room <= 0) return
+        notBefore = now + EVERY_MS
+        val watermark = leaderTerm.jobs.watermark()
+        if (watermark == written) return
+        written = watermark
+        batch.put(Keys.WATERMARK, WireJson.encodeToJsonElement(WatermarkRecord(watermark)))
+    }
+
+    /** What was added last may not have been written. */
+    fun putBack() {
+        notBefore = MonotonicTime(0)
+        written = null
+    }
+
+    private companion object {
+        const val EVERY_MS = 2000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/WorkerReports.kt
@@ -0,0 +1,130 @@
+package mountmast.coordination
+
+import mountmast.protocol.Clock
+import mountmast.protocol.HeartbeatResponse
+import mountmast.protocol.MonotonicTime
+import mountmast.protocol.WorkerReport
+import org.slf4j.LoggerFactory
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+private val log = LoggerFactory.getLogger("mountmast.leader")
+
+/** Takes workers' reports, and tells whose lease is over. Guarded by [lock]. */
+class WorkerReports(
+    private val lock: ReentrantLock,
+    private val ledger: Ledger,
+    private val grant: LeadershipGrant,
+    private val reachability: ReachabilityMonitor,
+    private val signals: TermSignals,
+    private val timing: Timing,
+    private val clock: Clock,
+) {
+    /** Commands to the workers; set once, as each needs the other. */
+    lateinit var dispatch: CommandDispatcher
+
+    /** From when on reports are taken: null until the leader has read its state. */
+    @Volatile
+    var takenFrom: MonotonicTime? = null
+
+    /** Takes a worker's report and tells the worker what is outstanding. */
+    fun heartbeat(report: WorkerReport): HeartbeatResponse = lock.withLock {
+        val now = clock.now()
+        val nothing = HeartbeatResponse(maxOf(grant.term, report.term), emptyList())
+        val readyAt = takenFrom ?: return nothing
+        // A copy that comes late renews no lease: whoever sent it has long dropped the answer.
+        if (!take(report, now, isHeartbeat = true)) return nothing
+        val machine = ledger.machines[report.machine] ?: return nothing
+        if (reachability.note(machine, report, now, readyAt)) signals.wakePlacement()
+        machine.answeredAt = now
+        machine.answeredReport = report.reportNumber
+        val orders = dispatch.outstanding(machine, inHeartbeat = report.reportNumber)
+        dispatch.fenceOffStopped(machine)
+        HeartbeatResponse(dispatch.token(machine), orders)
+    }
+
+    /** Takes a report, sent by itself or as the answer to a command; false where it is no news. The caller holds the lock. */
+    fun take(report: WorkerReport, now: MonotonicTime, isHeartbeat: Boolean): Boolean {
+        val before = ledger.machines[report.machine]
+        val wasUsable = before?.usable(now) == true
+        val lostAnswers = before?.let { unacknowledgedAnswers(it, report, now) } ?: 0
+        if (!ledger.report(report, now)) return false
+        val machine = ledger.machines[report.machine] ?: return false
+        if (isHeartbeat) {
+            machine.unacknowledgedReports += lostAnswers
+            machine.reportedAt = now
+        }
+        val isOurs = report.term.election == grant.term.election
+        if (isOurs) machine.hasSeenTerm = true
+        dispatch.noteToken(machine, report.term)
+        if (isHeartbeat && isOurs) withdrawStopped(machine, report)
+        if (ledger.unwritten.isNotEmpty()) signals.wakeWriter()
+        if (!wasUsable && machine.usable(now)) signals.wakePlacement()
+        return true
+    }
+
+    /**
+     * For how many unacknowledged reports a new session counts: a worker that is answered keeps its session, so a new one after
+     * an answer means that it did not arrive.
+     */
+    private fun unacknowledgedAnswers(machine: Machine, report: WorkerReport, now: MonotonicTime): Int {
+        val session = machine.session ?: return 0
+        if (report.session <= session || machine.answeredReport == null) return 0
+        return if (now - machine.answeredAt < timing.leaseMs) ReachabilityMonitor.MAX_UNACKNOWLEDGED_REPORTS else 1
+    }
+
+    /**
+     * Ends assignments that are to be stopped and never got to the worker: its report under our token lacks them,
+     * and no start of them can be under way any more.
+     */
+    private fun withdrawStopped(machine: Machine, report: WorkerReport) {
+        for (assignment in machine.live.values) {
+            if (assignment.phase != Phase.COMMITTED || assignment.stopGraceS == null || assignment.reported != null) continue
+            val inHeartbeat = assignment.startedInHeartbeat
+            val mayArrive = assignment.postsOut > 0 ||
+                assignment.key in machine.mayStillStart ||
+                (inHeartbeat != null && report.reportNumber <= inHeartbeat)
+            // What the report lists has been noted as reported by now.
+            if (!mayArrive) ledger.end(assignment, completed = false)
+        }
+    }
+
+    /**
+     * Calls dead the workers whose lease has provably run out. A leader that was cut off knows nothing of what its
+     * successor answered: silence counts only as far as it is certain that nobody else led, [ledUntil].
+     */
+    fun expireSilent(ledUntil: MonotonicTime) = lock.withLock {
+        val readyAt = takenFrom ?: return
+        val now = clock.now()
+        for (machine in ledger.machines.values) {
+            if (!isLeaseOver(machine, ledUntil, readyAt)) continue
+            log.info("machine {} silent: its lease is over, {} tasks lost", machine.id, machine.live.size)
+            ledger.endSession(machine, null)
+            machine.state = MachineState.EXPIRED
+            machine.expiredAt = now
+            signals.wakeWriter()
+        }
+    }
+
+    private fun isLeaseOver(machine: Machine, ledUntil: MonotonicTime, readyAt: MonotonicTime): Boolean {
+        if (machine.state != MachineState.UP && machine.state != MachineState.SILENT) return false
+        // Others may have answered in our name until then.
+        val helpedUntil = grant.electedAt + timing.helpMs
+        if (ledUntil - maxOf(machine.answeredAt, helpedUntil) < timing.leaseOverMs) return false
+        // Until the worker has shown our token, the leader before us may have answered it during its grace.
+        return machine.hasSeenTerm || ledUntil - readyAt >= timing.formerLeaderMs + timing.leaseOverMs
+    }
+
+    /** Why this node had better not lead although the state service lets it, or null. */
+    fun unfit(): String? = lock.withLock {
+        val now = clock.now()
+        val readyAt = takenFrom ?: return null
+        val up = ledger.machines.values.filter { it.state == MachineState.UP && !it.deleting }
+        if (now - readyAt < timing.quietMs || up.size < ReachabilityMonitor.MIN_MACHINES_TO_JUDGE_NODE) return null
+        when {
+            up.count { now - it.heardAt < timing.quietMs } * 2 < up.size -> "hardly any worker gets through to this node"
+            reachability.areMostUnreached() -> "this node reaches hardly any worker"
+            else -> null
+        }
+    }
+}
