--- a/src/main/kotlin/mountmast/Main.kt
+++ b/src/main/kotlin/mountmast/Main.kt
@@ -9,6 +9,7 @@
 import mountmast.transport.HttpCloud
 import mountmast.transport.HttpPeers
 import mountmast.transport.HttpWorkers
+import mountmast.transport.Metrics
 import mountmast.transport.Sockets
 import java.security.SecureRandom
 import java.util.concurrent.CountDownLatch
@@ -37,14 +38,15 @@
     System.setProperty("sun.net.httpserver.maxIdleConnections", sockets.idle.toString())
     System.setProperty("sun.net.httpserver.idleInterval", "60")
     System.setProperty("jdk.httpserver.maxConnections", sockets.accepted.toString())
+    val metrics = Metrics()
     val run = SecureRandom().nextLong().toULong().toString(Character.MAX_RADIX)
-    val store = HttpStateStore(settings.state, settings.stateLimits, settings.nodes)
+    val store = HttpStateStore(settings.state, settings.stateLimits, settings.nodes, metrics = metrics)
     store.shareAs(leader = false)
     val controller = Controller(
         settings, operators.policy, operators.fleet, store, HttpCloud(settings.cloud, settings.cloudRps), HttpWorkers(),
-        HttpPeers(), SystemClock, run,
+        HttpPeers(), SystemClock, run, metrics,
     )
-    Node(settings, operators, controller).start()
+    Node(settings, operators, controller, metrics).start()
 }
 
 private fun configureLogging(level: String?) {
--- a/src/main/kotlin/mountmast/coordination/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/Controller.kt
@@ -15,6 +15,8 @@
 import mountmast.transport.Cloud
 import mountmast.transport.HeartbeatOutcome
 import mountmast.transport.HeartbeatService
+import mountmast.transport.MetricNames
+import mountmast.transport.Metrics
 import mountmast.transport.PeerService
 import mountmast.transport.Peers
 import mountmast.transport.UserService
@@ -39,10 +41,13 @@
     private val clock: Clock,
     /** Drawn at each start, so that no two processes are ever taken for one another. */
     private val run: String,
+    metrics: Metrics = Metrics(),
 ) : HeartbeatService,
     PeerService {
     private val timing = Timing.of(settings.leaseS, settings.cancelS, settings.clockOffMs, settings.reportS)
-    private val leadership = Leadership(store, settings.node, run, timing, clock)
+    private val losses = TaskLosses(metrics)
+    private val wakeLag = metrics.timing(MetricNames.WAKE_LAG)
+    private val leadership = Leadership(store, settings.node, run, timing, clock, metrics)
     private val notices = CancellationNotices(settings.members.map { it.node }, clock, timing.noticesMs)
     private val helper = LeaseHelper(leadership, notices)
 
@@ -61,6 +66,9 @@
     private class LeaderComponents(val leaderTerm: LeaderTerm, val writer: LedgerWriter, val fleet: Fleet)
 
     private val leaderComponents = AtomicReference<LeaderComponents?>()
+
+    /** What this node measures of its own load. */
+    val loadReport = LoadReport(metrics, losses, leadership, ::leaderTerm, clock)
     private var stepsSinceTypes = 0
     private var uninformedSteps = 0
 
@@ -110,6 +118,7 @@
 
     /** Notes that a sleep was [ms] too long: this process falls behind its share of the processor. */
     fun noteLag(ms: Long) {
+        wakeLag.note(ms)
         lagMs += (ms - lagMs) * LAG_WEIGHT
     }
 
@@ -144,6 +153,7 @@
         val leaderTerm =
             LeaderTerm(
                 grant, store, workers, settings.teams, policy, timing, clock, { it in notices }, prerequisiteLists, jobService::noteRecord,
+                losses,
             )
         val writer = LedgerWriter(leaderTerm, store, settings.stateLimits, clock, { formats.isCurrent }) { leadership.lost() }
         val fleet = Fleet(leaderTerm, cloud, clock, "${settings.node}-$run-${grant.term}", fleetPolicy, timing, settings.cloudRps)
--- a/src/main/kotlin/mountmast/coordination/Journal.kt
+++ b/src/main/kotlin/mountmast/coordination/Journal.kt
@@ -2,6 +2,7 @@
 
 import mountmast.protocol.JobId
 import mountmast.protocol.MachineId
+import mountmast.protocol.MonotonicTime
 import mountmast.protocol.Stamp
 import mountmast.storage.JournalRecord
 import mountmast.storage.Keys
@@ -24,6 +25,9 @@
 
     private val slots = HashMap<Int, Slot>()
 
+    /** When this leader's last transaction was carried out; null before the first. */
+    var writtenAt: MonotonicTime? = null
+
     /** Number of the next record. */
     var next = 1L
 
--- a/src/main/kotlin/mountmast/coordination/LeaderTerm.kt
+++ b/src/main/kotlin/mountmast/coordination/LeaderTerm.kt
@@ -30,10 +30,11 @@
     prerequisiteLists: PrerequisiteLists,
     /** Told of each record of a live job that is read. */
     private val onJobRecord: (JobRecord, Stamp) -> Unit = { _, _ -> },
+    losses: TaskLosses = TaskLosses(),
 ) {
     /** Guards the ledger and all parts of the term. Held for moments; never during I/O. */
     val lock = ReentrantLock()
-    val ledger = Ledger(policy.runDecay).apply { beginTerm(grant.term) }
+    val ledger = Ledger(policy.runDecay, losses).apply { beginTerm(grant.term) }
 
     /** Where the journal stands in the store. */
     val journal = JournalState()
--- a/src/main/kotlin/mountmast/coordination/Leadership.kt
+++ b/src/main/kotlin/mountmast/coordination/Leadership.kt
@@ -24,6 +24,8 @@
 import mountmast.storage.Transaction
 import mountmast.storage.WatermarkRecord
 import mountmast.storage.Write
+import mountmast.transport.MetricNames
+import mountmast.transport.Metrics
 import org.slf4j.LoggerFactory
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
@@ -41,7 +43,10 @@
     private val run: String,
     private val timing: Timing,
     private val clock: Clock,
+    metrics: Metrics = Metrics(),
 ) {
+    private val elections = metrics.counter(MetricNames.ELECTIONS)
+    private val resignations = metrics.counter(MetricNames.RESIGNATIONS)
     private val lock = ReentrantLock()
     private var grant: LeadershipGrant? = null
     private var confirmedAt = MonotonicTime(0)
@@ -58,6 +63,9 @@
     /** What this node leads by, or null while it does not lead. */
     fun grant(): LeadershipGrant? = lock.withLock { grant }
 
+    /** How long ago the last renewal that succeeded was asked for, or null while this node does not lead. */
+    fun renewalAgeMs(): Long? = lock.withLock { if (grant == null) null else clock.now() - confirmedAt }
+
     /** The node that leads, as far as this one knows. */
     fun leader(): NodeId? = lock.withLock { if (grant != null) node else leader }
 
@@ -88,6 +96,7 @@
         lock.withLock {
             if (grant !== own) return
             log.info("resigning in term {}: {}", own.term, why)
+            resignations.add()
             lost()
             abstainUntil = clock.now() + ABSTAIN_MS
         }
@@ -110,7 +119,7 @@
 
     /** The leader's key was found changed. */
     fun lost() = lock.withLock {
-        grant?.let { log.info("no longer leading in term {}", it.term) }
+        grant?.let { log.info("no longer leading in term {}; last renewed {} ms ago", it.term, clock.now() - confirmedAt) }
         grant = null
         leader = null
         doubted = false
@@ -228,7 +237,15 @@
         leader = node
         doubted = false
         if (term > highest) highest = term
-        log.info("leading in term {}", term)
+        elections.add()
+        log.info(
+            "leading in term {} by hold {}, asked for {} ms ago for {} ms; cancellations are known up to {} ms ago",
+            term,
+            hold,
+            clock.now() - confirmedAt,
+            timing.ttlMs,
+            clock.wall().ms - record.watermark.ms,
+        )
     }
 
     private companion object {
--- a/src/main/kotlin/mountmast/coordination/Ledger.kt
+++ b/src/main/kotlin/mountmast/coordination/Ledger.kt
@@ -29,7 +29,7 @@
  * may be under way. Even then the task counts until the store no longer lists it, because the next leader would
  * start it again from there.
  */
-class Ledger(private val runDecay: Double) {
+class Ledger(private val runDecay: Double, private val losses: TaskLosses = TaskLosses()) {
     val jobs = LinkedHashMap<JobId, Job>()
     val machines = LinkedHashMap<MachineId, Machine>()
 
@@ -183,9 +183,12 @@
     }
 
     /** Ends every assignment on [machine] that belongs to a session before [session], or all where it is null. */
-    fun endSession(machine: Machine, session: Session?) {
+    fun endSession(machine: Machine, session: Session?, cause: LossCause) {
         for (assignment in machine.live.values) {
-            if (session == null || assignment.session < session) end(assignment, completed = false)
+            val isOver = session == null || assignment.session < session
+            if (!isOver || assignment.phase >= Phase.ENDED) continue
+            losses.note(cause)
+            end(assignment, completed = false)
         }
     }
 
@@ -193,7 +196,7 @@
     fun markDeleted(id: MachineId, now: MonotonicTime) {
         tombstones[id] = now
         val machine = machines[id] ?: return
-        endSession(machine, null)
+        endSession(machine, null, LossCause.MACHINE_DELETED)
         if (machine.live.isEmpty()) machines.remove(id) else machine.deleting = true
     }
 
--- a/src/main/kotlin/mountmast/coordination/LedgerWriter.kt
+++ b/src/main/kotlin/mountmast/coordination/LedgerWriter.kt
@@ -97,7 +97,10 @@
         val wasFence = fence != null
         unsettled = null
         fence = null
-        leaderTerm.lock.withLock { if (wasFence) fenced(batch, stamp) else committed(batch, stamp) }
+        leaderTerm.lock.withLock {
+            leaderTerm.journal.writtenAt = clock.now()
+            if (wasFence) fenced(batch, stamp) else committed(batch, stamp)
+        }
         return true
     }
 
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/LoadReport.kt
@@ -0,0 +1,100 @@
+package mountmast.coordination
+
+import mountmast.protocol.Clock
+import mountmast.transport.MetricNames
+import mountmast.transport.Metrics
+import org.slf4j.LoggerFactory
+import java.lang.management.ManagementFactory
+import kotlin.concurrent.withLock
+
+private val log = LoggerFactory.getLogger("mountmast.load")
+
+/**
+ * What a node measures of its own load: as gauges on the operators' page, and every few seconds in one line of the log while it
+ * leads. Called by one thread.
+ */
+class LoadReport(
+    private val metrics: Metrics,
+    private val losses: TaskLosses,
+    private val leadership: Leadership,
+    private val leaderTerm: () -> LeaderTerm?,
+    private val clock: Clock,
+) {
+    private val answered = metrics.counter(MetricNames.REPORTS_ANSWERED)
+    private val refused = metrics.counter(MetricNames.REPORTS_REFUSED)
+    private val reportWait = metrics.timing(MetricNames.REPORT_WAIT)
+    private val requestWait = metrics.timing(MetricNames.REQUEST_WAIT)
+    private val storeCalls = metrics.timing(MetricNames.STORE_CALLS)
+    private val storeFailures = metrics.counter(MetricNames.STORE_FAILURES)
+    private val wakeLag = metrics.timing(MetricNames.WAKE_LAG)
+    private var toldAt = clock.now()
+    private var told = Totals(0, 0, 0, 0)
+
+    /** What was counted up to some moment. */
+    private class Totals(val answered: Long, val refused: Long, val storeCalls: Long, val storeFailures: Long)
+
+    init {
+        metrics.gauge(MetricNames.RENEWAL_AGE) { leadership.renewalAgeMs() ?: NOT_LEADING }
+        metrics.gauge(MetricNames.UNWRITTEN_CHANGES) { ofTerm { it.ledger.unwritten.size } }
+        metrics.gauge(MetricNames.LAST_WRITE_AGE) { ofTerm { term -> term.journal.writtenAt?.let { clock.now() - it } ?: NOT_LEADING } }
+        metrics.gauge(MetricNames.MACHINES_UP) { ofTerm { term -> term.ledger.machines.values.count { it.state == MachineState.UP } } }
+        metrics.gauge(MetricNames.ASSIGNMENTS) { ofTerm { term -> term.ledger.machines.values.sumOf { it.live.size } } }
+        metrics.gauge(MetricNames.JOBS) { ofTerm { it.ledger.jobs.size } }
+        metrics.gauge(MetricNames.HEAP_USED) { heapUsedMb() }
+        // Asked for by the page alone: loading the beans costs a cold node processor time.
+        metrics.gauge(MetricNames.COLLECTIONS) { ManagementFactory.getGarbageCollectorMXBeans().sumOf { it.collectionCount } }
+        metrics.gauge(MetricNames.COLLECTION_TIME) { ManagementFactory.getGarbageCollectorMXBeans().sumOf { it.collectionTime } }
+    }
+
+    private fun ofTerm(read: (LeaderTerm) -> Number): Number {
+        val term = leaderTerm() ?: return NOT_LEADING
+        return term.lock.withLock { read(term) }
+    }
+
+    private fun heapUsedMb(): Long = Runtime.getRuntime().let { (it.totalMemory() - it.freeMemory()) / BYTES_PER_MB }
+
+    /** Tells how the time since the last call went; at `debug` where this node does not lead. */
+    fun tell() {
+        val now = clock.now()
+        val totals = Totals(answered.value, refused.value, storeCalls.count, storeFailures.value)
+        val seconds = maxOf(1L, (now - toldAt) / MS_PER_S)
+        val load = "load: " + listOf(workLine(), reportsLine(totals, seconds), storeLine(totals, seconds), processLine()).joinToString("; ")
+        toldAt = now
+        told = totals
+        if (leaderTerm() != null) log.info(load) else log.debug(load)
+    }
+
+    private fun workLine(): String {
+        val machines = metrics.gaugeValue(MetricNames.MACHINES_UP)
+        val assignments = metrics.gaugeValue(MetricNames.ASSIGNMENTS)
+        return "$machines machines up, $assignments assignments, ${metrics.gaugeValue(MetricNames.JOBS)} jobs"
+    }
+
+    private fun reportsLine(totals: Totals, seconds: Long): String {
+        val rate = (totals.answered - told.answered) / seconds
+        val waiting = metrics.gaugeValue(MetricNames.REPORTS_WAITING)
+        return "$rate reports/s waited up to ${reportWait.takeLongestMs()} ms, ${totals.refused - told.refused} refused, $waiting wait; " +
+            "requests waited up to ${requestWait.takeLongestMs()} ms, ${metrics.gaugeValue(MetricNames.REQUESTS_WAITING)} wait"
+    }
+
+    private fun storeLine(totals: Totals, seconds: Long): String {
+        val rate = (totals.storeCalls - told.storeCalls) / seconds
+        val failed = totals.storeFailures - told.storeFailures
+        return "state service $rate calls/s up to ${storeCalls.takeLongestMs()} ms, $failed failed; " +
+            "renewed ${metrics.gaugeValue(MetricNames.RENEWAL_AGE)} ms ago, " +
+            "${metrics.gaugeValue(MetricNames.UNWRITTEN_CHANGES)} changes unwritten, " +
+            "last write ${metrics.gaugeValue(MetricNames.LAST_WRITE_AGE)} ms ago"
+    }
+
+    private fun processLine(): String {
+        val lost = LossCause.entries.joinToString { "${losses.of(it)} ${it.name.lowercase()}" }
+        return "woke up to ${wakeLag.takeLongestMs()} ms late, heap ${heapUsedMb()} MB; tasks lost so far: $lost"
+    }
+
+    private companion object {
+        /** Of a gauge that only a leader has. */
+        const val NOT_LEADING = -1L
+        const val MS_PER_S = 1000L
+        const val BYTES_PER_MB = 1024L * 1024
+    }
+}
--- a/src/main/kotlin/mountmast/coordination/Node.kt
+++ b/src/main/kotlin/mountmast/coordination/Node.kt
@@ -4,6 +4,9 @@
 import mountmast.transport.AdmissionLimits
 import mountmast.transport.BoundedServer
 import mountmast.transport.HEARTBEAT_PATH
+import mountmast.transport.MetricNames
+import mountmast.transport.Metrics
+import mountmast.transport.QueueMetrics
 import mountmast.transport.RequestLane
 import mountmast.transport.Sockets
 import mountmast.transport.peerRoutes
@@ -18,7 +21,12 @@
 private val log = LoggerFactory.getLogger("mountmast.node")
 
 /** Runs a [Controller]: its servers, and a thread for each kind of step. */
-class Node(private val settings: Settings, private val operators: OperatorSettings, private val controller: Controller) {
+class Node(
+    private val settings: Settings,
+    private val operators: OperatorSettings,
+    private val controller: Controller,
+    private val metrics: Metrics = Metrics(),
+) {
     /** Starts the servers, then the threads; they run until the process ends. */
     fun start() {
         val sockets = Sockets.of(settings.maxConnections)
@@ -32,13 +40,24 @@
         // What users submit is shed first: their polls have a limit of their own, and both leave threads to the workers.
         val admission = AdmissionLimits(operators.admission.limit(), operators.admission.limit())
         // When all workers connect at once, after an election, users would wait behind hundreds of reports.
-        val heartbeats = RequestLane(HEARTBEAT_PATH, HEARTBEAT_THREADS, sockets.waiting)
-        publicRoutes(controller.users, controller, admission)
-            .asServer(BoundedServer(settings.serveOn, "serve", SERVE_THREADS, sockets.waiting, listOf(heartbeats))).start()
+        val heartbeats = RequestLane(HEARTBEAT_PATH, HEARTBEAT_THREADS, sockets.waiting, reportQueueMetrics())
+        publicRoutes(controller.users, controller, admission, metrics)
+            .asServer(BoundedServer(settings.serveOn, "serve", SERVE_THREADS, sockets.waiting, listOf(heartbeats), requestQueueMetrics()))
+            .start()
         peerRoutes(controller.users, controller)
             .asServer(BoundedServer(settings.peerListen, "peer", PEER_THREADS, PEER_WAITING)).start()
     }
 
+    private fun reportQueueMetrics() =
+        QueueMetrics(metrics.timing(MetricNames.REPORT_WAIT), metrics.counter(MetricNames.REPORTS_REFUSED)) { size ->
+            metrics.gauge(MetricNames.REPORTS_WAITING, size)
+        }
+
+    private fun requestQueueMetrics() =
+        QueueMetrics(metrics.timing(MetricNames.REQUEST_WAIT), metrics.counter(MetricNames.REQUESTS_REFUSED)) { size ->
+            metrics.gauge(MetricNames.REQUESTS_WAITING, size)
+        }
+
     /** Starts what every node does, whether it leads or not. */
     private fun startMembership() {
         loop("leadership") {
@@ -58,6 +77,10 @@
             REFRESH_MS
         }
         loop("job-watch") { if (controller.watchJobs(WATCH_MS)) WATCH_GAP_MS else FAILED_MS }
+        loop("load-report") {
+            controller.loadReport.tell()
+            LOAD_REPORT_MS
+        }
         loop("greeter") {
             controller.greet()
             GREET_MS
@@ -129,6 +152,7 @@
         const val LEADERSHIP_GAP_MS = 50L
         const val PULSE_MS = 100L
         const val GREET_MS = 2000L
+        const val LOAD_REPORT_MS = 10_000L
         const val REFRESH_MS = 1000L
         const val PASS_GAP_MS = 200L
         const val PASS_SHARE = 4
--- a/src/main/kotlin/mountmast/coordination/ReportIntake.kt
+++ b/src/main/kotlin/mountmast/coordination/ReportIntake.kt
@@ -49,7 +49,7 @@
     }
 
     private fun beginSession(machine: Machine, report: WorkerReport, now: MonotonicTime) {
-        ledger.endSession(machine, report.session)
+        ledger.endSession(machine, report.session, LossCause.NEW_SESSION)
         machine.mayStillStart.clear()
         machine.session = report.session
         machine.sessionSince = now
--- a/src/main/kotlin/mountmast/coordination/TermLoader.kt
+++ b/src/main/kotlin/mountmast/coordination/TermLoader.kt
@@ -47,6 +47,7 @@
         val parts = if (snapshot == null) emptyList() else store.listAll(Keys.snapshotParts(snapshot.generation)).first
         val (slots, _) = store.listAll(Keys.JOURNAL)
         val failing = store.get(Keys.FAILING)
+        val read = clock.now()
         lock.withLock {
             types?.let(ledger::replaceTypes)
             jobs.takeInAll(liveJobs, revision, asked, askedWall)
@@ -54,6 +55,16 @@
             replay(snapshot, parts, slots, clock.now())
             failing?.let(::recallFailing)
         }
+        log.info(
+            "read {} jobs up to revision {}, {} parts of snapshot {} and {} slots of the journal in {} ms, replayed in {} ms",
+            liveJobs.size,
+            revision,
+            parts.size,
+            snapshot?.generation ?: 0,
+            slots.size,
+            read - asked,
+            clock.now() - read,
+        )
     }
 
     /** Reads hints; false where they were read before. */
--- a/src/main/kotlin/mountmast/coordination/WorkerReports.kt
+++ b/src/main/kotlin/mountmast/coordination/WorkerReports.kt
@@ -99,7 +99,7 @@
         for (machine in ledger.machines.values) {
             if (!isLeaseOver(machine, ledUntil, readyAt)) continue
             log.info("machine {} silent: its lease is over, {} tasks lost", machine.id, machine.live.size)
-            ledger.endSession(machine, null)
+            ledger.endSession(machine, null, LossCause.LEASE_OVER)
             machine.state = MachineState.EXPIRED
             machine.expiredAt = now
             signals.wakeWriter()
--- a/src/main/kotlin/mountmast/storage/HttpStateStore.kt
+++ b/src/main/kotlin/mountmast/storage/HttpStateStore.kt
@@ -13,6 +13,8 @@
 import mountmast.protocol.StateLimits
 import mountmast.protocol.WireJson
 import mountmast.transport.HttpCaller
+import mountmast.transport.MetricNames
+import mountmast.transport.Metrics
 import mountmast.transport.NoAnswerException
 import mountmast.transport.Reply
 import org.slf4j.LoggerFactory
@@ -28,7 +30,11 @@
     private val limits: StateLimits,
     private val nodes: Int,
     private val caller: HttpCaller = HttpCaller(),
+    metrics: Metrics = Metrics(),
 ) : StateStore {
+    private val calls = metrics.timing(MetricNames.STORE_CALLS)
+    private val failures = metrics.counter(MetricNames.STORE_FAILURES)
+
     private val requests = RateLimiter.create(limits.requestsPerSecond / nodes)
     private val writes = RateShare(limits.writesPerSecond / nodes, System::nanoTime)
     private val rejections = ConcurrentHashMap.newKeySet<String>()
@@ -124,22 +130,22 @@
         try {
             val admitted = System.nanoTime()
             val reply = caller.call(at, method, path, body?.encodeToByteArray(), waitMs)
-            if (waitMs == WAIT_MS) tellIfSlow("$method $path", began, admitted)
+            if (waitMs == WAIT_MS) noteTime("$method $path", began, admitted)
             // Above the rates the service answers 429: it is within reach.
             lastOk = reply.status < 500
-            if (lastOk) lastOkNanos = System.nanoTime()
+            if (lastOk) lastOkNanos = System.nanoTime() else failures.add()
             return reply
         } catch (e: NoAnswerException) {
             lastOk = false
+            failures.add()
             throw if (e.mayBeCarriedOut) StoreSilent("$path: ${e.message}") else StoreRefused("$path: ${e.message}")
         }
     }
 
-    private fun tellIfSlow(call: String, beganNanos: Long, admittedNanos: Long) {
+    private fun noteTime(call: String, beganNanos: Long, admittedNanos: Long) {
         val tookMs = (System.nanoTime() - beganNanos) / NANOS_PER_MS
-        if (tookMs >=
-            SLOW_MS
-        ) {
+        calls.note(tookMs)
+        if (tookMs >= SLOW_MS) {
             log.debug("{} took {} ms, {} of them for the share", call, tookMs, (admittedNanos - beganNanos) / NANOS_PER_MS)
         }
     }
--- a/src/main/kotlin/mountmast/transport/BoundedServer.kt
+++ b/src/main/kotlin/mountmast/transport/BoundedServer.kt
@@ -22,7 +22,15 @@
  * Requests to [path] have [threads] of their own, and up to [waiting] of them wait for one. Where requests of one kind come by
  * the hundreds at once, they neither keep all threads nor share the processor with others as so many equals.
  */
-class RequestLane(val path: String, val threads: Int, val waiting: Int)
+class RequestLane(val path: String, val threads: Int, val waiting: Int, val metrics: QueueMetrics = QueueMetrics.NONE)
+
+/** What is counted of requests that wait for a thread. */
+class QueueMetrics(val wait: Timing, val refused: Counter, val onQueue: (() -> Int) -> Unit) {
+    companion object {
+        /** Counted, but shown nowhere. */
+        val NONE = QueueMetrics(Timing(), Counter()) {}
+    }
+}
 
 /**
  * http4k on the JDK's server. http4k's own `SunHttp` binds every address and has an unbounded pool; this one
@@ -35,19 +43,20 @@
     private val threads: Int,
     private val waiting: Int,
     private val lanes: List<RequestLane> = emptyList(),
+    private val metrics: QueueMetrics = QueueMetrics.NONE,
 ) : ServerConfig {
     override val stopMode = ServerConfig.StopMode.Immediate
 
     override fun toServer(http: HttpHandler): Http4kServer {
         val server = HttpServer.create(at, maxOf(BACKLOG, waiting))
         val handler = HttpExchangeHandler(http)
-        val pools = arrayListOf(pool(name, threads, waiting))
+        val pools = arrayListOf(pool(name, threads, waiting, metrics))
         server.createContext("/", handler)
         server.executor = pools.first()
         for (lane in lanes) {
-            val pool = pool("$name-lane", lane.threads, lane.waiting)
+            val pool = pool("$name-lane", lane.threads, lane.waiting, lane.metrics)
             pools += pool
-            server.createContext(lane.path) { exchange -> handOver(exchange, handler, pool) }
+            server.createContext(lane.path) { exchange -> handOver(exchange, handler, pool, lane.metrics) }
         }
         return object : Http4kServer {
             override fun start() = apply { server.start() }
@@ -60,7 +69,7 @@
         }
     }
 
-    private fun pool(name: String, threads: Int, waiting: Int): ThreadPoolExecutor {
+    private fun pool(name: String, threads: Int, waiting: Int, metrics: QueueMetrics): ThreadPoolExecutor {
         val pool = object : ThreadPoolExecutor(
             threads,
             threads,
@@ -69,17 +78,19 @@
             LinkedBlockingQueue(waiting),
             { task -> Thread(null, task, name, STACK_BYTES).apply { isDaemon = true } },
         ) {
-            override fun execute(task: Runnable) = super.execute(if (log.isDebugEnabled) timed(task) else task)
+            override fun execute(task: Runnable) = super.execute(timed(task, metrics))
         }
+        metrics.onQueue { pool.queue.size }
         pool.allowCoreThreadTimeOut(true)
         return pool
     }
 
     /** The exchange is answered by another thread; the one that read it is free for the next. */
-    private fun handOver(exchange: HttpExchange, handler: JdkHandler, lane: ThreadPoolExecutor) {
+    private fun handOver(exchange: HttpExchange, handler: JdkHandler, lane: ThreadPoolExecutor, metrics: QueueMetrics) {
         try {
             lane.execute { answer(exchange, handler) }
         } catch (e: RejectedExecutionException) {
+            metrics.refused.add()
             log.debug("a request is refused: {}", e.message)
             exchange.responseHeaders.add("Retry-After", "1")
             exchange.sendResponseHeaders(HttpURLConnection.HTTP_UNAVAILABLE, NO_BODY)
@@ -96,11 +107,12 @@
         }
     }
 
-    /** Tells at `debug` if [task] waits long for a thread. */
-    private fun timed(task: Runnable): Runnable {
+    /** Notes how long [task] waits for a thread, and tells at `debug` if that is long. */
+    private fun timed(task: Runnable, metrics: QueueMetrics): Runnable {
         val queuedAt = System.nanoTime()
         return Runnable {
             val waitedMs = (System.nanoTime() - queuedAt) / NANOS_PER_MS
+            metrics.wait.note(waitedMs)
             if (waitedMs >= SLOW_MS) log.debug("a request waited {} ms for a thread", waitedMs)
             task.run()
         }
--- a/src/main/kotlin/mountmast/transport/HttpMessages.kt
+++ b/src/main/kotlin/mountmast/transport/HttpMessages.kt
@@ -74,5 +74,8 @@
     return if (retryAfterS > 0) response.header("Retry-After", retryAfterS.toString()) else response
 }
 
+/** A successful answer in plain text. */
+internal fun text(body: String) = Response(Status.OK).header("Content-Type", "text/plain; version=0.0.4").body(body)
+
 /** A successful answer in protobuf. */
 internal fun protobuf(bytes: ByteArray) = Response(Status.OK).header("Content-Type", "application/x-protobuf").body(MemoryBody(bytes))
--- /dev/null
+++ b/src/main/kotlin/mountmast/transport/Metrics.kt
@@ -0,0 +1,101 @@
+package mountmast.transport
+
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.LongAdder
+
+/** A number that only rises. Thread-safe; adding takes no lock. */
+class Counter {
+    private val sum = LongAdder()
+
+    /** How much was added so far. */
+    val value: Long get() = sum.sum()
+
+    /** Adds [count]. */
+    fun add(count: Long = 1) = sum.add(count)
+}
+
+/** Durations: their number, their sum, and the longest since it was last taken. Thread-safe; noting one takes no lock. */
+class Timing {
+    private val noted = LongAdder()
+    private val sum = LongAdder()
+    private val longest = AtomicLong()
+
+    /** How many durations were noted so far. */
+    val count: Long get() = noted.sum()
+
+    /** All of them together. */
+    val sumMs: Long get() = sum.sum()
+
+    /** Notes a duration. */
+    fun note(ms: Long) {
+        noted.add(1)
+        sum.add(ms)
+        if (ms > longest.get()) longest.accumulateAndGet(ms, ::maxOf)
+    }
+
+    /** The longest duration since the call before. */
+    fun takeLongestMs(): Long = longest.getAndSet(0)
+}
+
+/** What one process counts of its own work, by name, for the operators' page and the summary in the log. Thread-safe. */
+class Metrics {
+    private val counters = ConcurrentHashMap<String, Counter>()
+    private val timings = ConcurrentHashMap<String, Timing>()
+    private val gauges = ConcurrentHashMap<String, () -> Number>()
+
+    /** The counter of this [name]. */
+    fun counter(name: String): Counter = counters.computeIfAbsent(name) { Counter() }
+
+    /** The durations of this [name]. */
+    fun timing(name: String): Timing = timings.computeIfAbsent(name) { Timing() }
+
+    /** Has [read] asked whenever the value of [name] is wanted; a later one takes the place of an earlier one. */
+    fun gauge(name: String, read: () -> Number) {
+        gauges[name] = read
+    }
+
+    /** The present value of the gauge [name], or 0 where there is none. */
+    fun gaugeValue(name: String): Long = gauges[name]?.invoke()?.toLong() ?: 0
+
+    /** All values, one a line, in the usual text format for metrics. */
+    fun render(): String = buildString {
+        for ((name, counter) in counters.toSortedMap()) line("${name}_total", counter.value)
+        for ((name, timing) in timings.toSortedMap()) {
+            line("${name}_count", timing.count)
+            line("${name}_sum_ms", timing.sumMs)
+        }
+        for ((name, read) in gauges.toSortedMap()) line(name, read())
+    }
+
+    private fun StringBuilder.line(name: String, value: Number) = append(PREFIX).append(name).append(' ').append(value).append('\n')
+
+    private companion object {
+        const val PREFIX = "mountmast_"
+    }
+}
+
+/** Names of the metrics that more than one place needs. */
+object MetricNames {
+    const val REPORTS_ANSWERED = "reports_answered"
+    const val REPORTS_REFUSED = "reports_refused"
+    const val REPORTS_WAITING = "reports_waiting"
+    const val REPORT_WAIT = "report_wait"
+    const val REQUESTS_WAITING = "requests_waiting"
+    const val REQUEST_WAIT = "request_wait"
+    const val REQUESTS_REFUSED = "requests_refused"
+    const val STORE_CALLS = "store_call"
+    const val STORE_FAILURES = "store_failures"
+    const val WAKE_LAG = "wake_lag"
+    const val ELECTIONS = "elections"
+    const val RESIGNATIONS = "resignations"
+    const val RENEWAL_AGE = "renewal_age_ms"
+    const val UNWRITTEN_CHANGES = "unwritten_changes"
+    const val LAST_WRITE_AGE = "last_write_age_ms"
+    const val MACHINES_UP = "machines_up"
+    const val ASSIGNMENTS = "assignments"
+    const val JOBS = "jobs"
+    const val HEAP_USED = "heap_used_mb"
+    const val COLLECTIONS = "collections"
+    const val COLLECTION_TIME = "collection_time_ms"
+}
--- a/src/main/kotlin/mountmast/transport/Routes.kt
+++ b/src/main/kotlin/mountmast/transport/Routes.kt
@@ -19,18 +19,30 @@
 /** Path of workers' reports. */
 internal const val HEARTBEAT_PATH = "/agent/beat"
 
+/** Path of the metrics. */
+internal const val METRICS_PATH = "/metrics"
+
 /** Ends the path that cancels a job. */
 internal const val CANCEL_SUFFIX = "/cancel"
 
 /** Everything served to users, workers and health checks. */
-fun publicRoutes(users: UserService, beats: HeartbeatService, admission: AdmissionLimits): HttpHandler = timed(
+fun publicRoutes(
+    users: UserService,
+    beats: HeartbeatService,
+    admission: AdmissionLimits,
+    metrics: Metrics = Metrics(),
+): HttpHandler = timed(
     guarded { request ->
         val path = request.uri.path
         when {
             path == "/ready" -> request.only(Method.GET) {
                 if (users.ready()) json(200, "ready") else json(503, "not ready", retryAfterS = 1)
             }
-            path == HEARTBEAT_PATH -> request.only(Method.POST) { heartbeat(request, beats) }
+            path == HEARTBEAT_PATH -> request.only(Method.POST) {
+                metrics.counter(MetricNames.REPORTS_ANSWERED).add()
+                heartbeat(request, beats)
+            }
+            path == METRICS_PATH -> request.only(Method.GET) { text(metrics.render()) }
             path == JOBS_PATH -> request.only(Method.POST) {
                 val body = request.boundedBody() ?: return@only json(400, refusal("body: over 64 KiB"))
                 admission.submissions.admit { users.submit(body, relayed = false) }.toResponse()
