--- a/src/main/kotlin/mountmast/coordination/Node.kt
+++ b/src/main/kotlin/mountmast/coordination/Node.kt
@@ -3,7 +3,6 @@
 import mountmast.protocol.Settings
 import mountmast.transport.AdmissionLimits
 import mountmast.transport.BoundedServer
-import mountmast.transport.HEARTBEAT_PATH
 import mountmast.transport.MetricNames
 import mountmast.transport.Metrics
 import mountmast.transport.QueueMetrics
@@ -40,9 +39,9 @@
         // What users submit is shed first: their polls have a limit of their own, and both leave threads to the workers.
         val admission = AdmissionLimits(operators.admission.limit(), operators.admission.limit())
         // When all workers connect at once, after an election, users would wait behind hundreds of reports.
-        val heartbeats = RequestLane(HEARTBEAT_PATH, HEARTBEAT_THREADS, sockets.waiting, reportQueueMetrics())
+        val heartbeats = RequestLane.forReports(sockets, reportQueueMetrics())
         publicRoutes(controller.users, controller, admission, metrics)
-            .asServer(BoundedServer(settings.serveOn, "serve", SERVE_THREADS, sockets.waiting, listOf(heartbeats), requestQueueMetrics()))
+            .asServer(BoundedServer(settings.serveOn, "serve", BoundedServer.PUBLIC_READERS, sockets.waiting, listOf(heartbeats), requestQueueMetrics()))
             .start()
         peerRoutes(controller.users, controller)
             .asServer(BoundedServer(settings.peerListen, "peer", PEER_THREADS, PEER_WAITING)).start()
@@ -139,10 +138,6 @@
     }
 
     private companion object {
-        const val SERVE_THREADS = 60
-
-        /** A report is answered from memory, under the ledger's lock: more threads than these only wait for one another. */
-        const val HEARTBEAT_THREADS = 4
         const val PEER_THREADS = 4
         const val PEER_WAITING = 256
         const val CALLERS = 8
--- a/src/main/kotlin/mountmast/transport/BoundedServer.kt
+++ b/src/main/kotlin/mountmast/transport/BoundedServer.kt
@@ -22,7 +22,22 @@
  * Requests to [path] have [threads] of their own, and up to [waiting] of them wait for one. Where requests of one kind come by
  * the hundreds at once, they neither keep all threads nor share the processor with others as so many equals.
  */
-class RequestLane(val path: String, val threads: Int, val waiting: Int, val metrics: QueueMetrics = QueueMetrics.NONE)
+class RequestLane(val path: String, val threads: Int, val waiting: Int, val metrics: QueueMetrics = QueueMetrics.NONE) {
+    /** Whether one more request may wait while [queued] do. */
+    fun admits(queued: Int): Boolean = queued < waiting
+
+    /** Whether a request that has waited for [waitedMs] is still worth an answer. */
+    fun isWorthAnswering(waitedMs: Long): Boolean = waitedMs >= 0
+
+    companion object {
+        /** A report is answered from memory, under the ledger's lock: more threads than these only wait for one another. */
+        private const val REPORT_THREADS = 4
+
+        /** The lane of workers' reports, for a node with these [sockets]. */
+        fun forReports(sockets: Sockets, metrics: QueueMetrics = QueueMetrics.NONE) =
+            RequestLane(HEARTBEAT_PATH, REPORT_THREADS, sockets.waiting, metrics)
+    }
+}
 
 /** What is counted of requests that wait for a thread. */
 class QueueMetrics(val wait: Timing, val refused: Counter, val onQueue: (() -> Int) -> Unit) {
@@ -118,10 +133,12 @@
         }
     }
 
-    private companion object {
-        const val BACKLOG = 128
-        const val NO_BODY = -1L
-        const val IDLE_S = 30L
-        const val STACK_BYTES = 256L * 1024
+    companion object {
+        /** Threads that read the requests of users and workers, and answer those of users. */
+        const val PUBLIC_READERS = 60
+        private const val BACKLOG = 128
+        private const val NO_BODY = -1L
+        private const val IDLE_S = 30L
+        private const val STACK_BYTES = 256L * 1024
     }
 }
--- a/src/test/kotlin/mountmast/standin/Network.kt
+++ b/src/test/kotlin/mountmast/standin/Network.kt
@@ -25,6 +25,9 @@
     /** Whether a report that does not get through may be held up and arrive late. */
     var holdsReports = true
 
+    /** How long a report waits at its node before it is looked at, while commands and their answers go on. */
+    var reportsWaitMs = 0L
+
     /** Commands sent to workers so far, how many of them to workers that nobody reaches, and how many were held up. */
     var ordersSent = 0
         private set
@@ -140,7 +143,21 @@
             return tryNext(worker, report)
         }
         val sentAt = time.now
-        seat.guarded { answered(worker, seat, report, sentAt, controller.heartbeat(report)) }
+        if (reportsWaitMs == 0L) {
+            seat.guarded { answered(worker, seat, report, sentAt, controller.heartbeat(report)) }
+        } else {
+            answerLater(worker, seat, report, sentAt)
+        }
+    }
+
+    /** The report waits for a thread of its node; the worker sends no other meanwhile. */
+    private fun answerLater(worker: StandInWorker, seat: ControllerSeat, report: WorkerReport, sentAt: Long) {
+        val process = seat.trouble
+        worker.nextReportAt += reportsWaitMs
+        time.later(reportsWaitMs) {
+            val controller = seat.controller?.takeIf { seat.trouble === process }
+            if (controller != null) seat.guarded { answered(worker, seat, report, sentAt, controller.heartbeat(report)) }
+        }
     }
 
     /** A copy comes late, from seconds to well over a lease, at any node, whatever became of the machine. */
