Reports wait as long as their workers do, and an answer that renews a lease is noted

One place renews now, and notes it first. Answers from before the leader had read its state count as well. 2. The storm: reports were bounded by number, a refused one came back within 1.5 s at hardly less cost than an answered one, and 60 threads that read took the processor from 4 that answer. Reports wait up to 3 s now, whatever their number; later ones are refused unread; 4 threads read.

--- a/src/main/kotlin/mountmast/Main.kt
+++ b/src/main/kotlin/mountmast/Main.kt
@@ -34,6 +34,8 @@
     // The JDK's client would otherwise send a request again by itself, and its server delay small answers.
     System.setProperty("sun.net.http.retryPost", "false")
     System.setProperty("sun.net.httpserver.nodelay", "true")
+    // A request that never arrives whole must not hold one of the few threads that read; reports may wait before their body is read.
+    System.setProperty("sun.net.httpserver.maxReqTime", "10")
     val sockets = Sockets.of(settings.maxConnections)
     System.setProperty("sun.net.httpserver.maxIdleConnections", sockets.idle.toString())
     System.setProperty("sun.net.httpserver.idleInterval", "60")
--- a/src/main/kotlin/mountmast/coordination/Machine.kt
+++ b/src/main/kotlin/mountmast/coordination/Machine.kt
@@ -34,6 +34,9 @@
 
     var heardAt = MonotonicTime(0)
 
+    /** The highest report of this session that was answered as a heartbeat, not as the answer to a command. */
+    var heartbeatNumber = ReportNumber(0u)
+
     /** When it last reported by itself: one that only answers commands hears nothing of its reports' answers. */
     var reportedAt = MonotonicTime(0)
 
--- a/src/main/kotlin/mountmast/coordination/Node.kt
+++ b/src/main/kotlin/mountmast/coordination/Node.kt
@@ -39,9 +39,12 @@
         // What users submit is shed first: their polls have a limit of their own, and both leave threads to the workers.
         val admission = AdmissionLimits(operators.admission.limit(), operators.admission.limit())
         // When all workers connect at once, after an election, users would wait behind hundreds of reports.
-        val heartbeats = RequestLane.forReports(sockets, reportQueueMetrics())
+        val lanes = listOf(
+            RequestLane.forReports(reportQueueMetrics()),
+            RequestLane.forOthers(USER_THREADS, sockets.waiting, requestQueueMetrics()),
+        )
         publicRoutes(controller.users, controller, admission, metrics)
-            .asServer(BoundedServer(settings.serveOn, "serve", BoundedServer.PUBLIC_READERS, sockets.waiting, listOf(heartbeats), requestQueueMetrics()))
+            .asServer(BoundedServer(settings.serveOn, "serve", BoundedServer.PUBLIC_READERS, sockets.accepted, lanes))
             .start()
         peerRoutes(controller.users, controller)
             .asServer(BoundedServer(settings.peerListen, "peer", PEER_THREADS, PEER_WAITING)).start()
@@ -138,6 +141,7 @@
     }
 
     private companion object {
+        const val USER_THREADS = 56
         const val PEER_THREADS = 4
         const val PEER_WAITING = 256
         const val CALLERS = 8
--- a/src/main/kotlin/mountmast/coordination/ReportIntake.kt
+++ b/src/main/kotlin/mountmast/coordination/ReportIntake.kt
@@ -2,6 +2,7 @@
 
 import mountmast.protocol.ExitCause
 import mountmast.protocol.MonotonicTime
+import mountmast.protocol.ReportNumber
 import mountmast.protocol.ReportedTask
 import mountmast.protocol.TaskState
 import mountmast.protocol.WorkerReport
@@ -54,6 +55,7 @@
         machine.session = report.session
         machine.sessionSince = now
         machine.answeredReport = null
+        machine.heartbeatNumber = ReportNumber(0u)
         // A session that nobody answered yet lives a full lease from its beginning, which may have been just now.
         machine.answeredAt = now
     }
--- a/src/main/kotlin/mountmast/coordination/WorkerReports.kt
+++ b/src/main/kotlin/mountmast/coordination/WorkerReports.kt
@@ -32,15 +32,36 @@
         val now = clock.now()
         val nothing = HeartbeatResponse(maxOf(grant.term, report.term), emptyList())
         val readyAt = takenFrom ?: return nothing
-        // A copy that comes late renews no lease: whoever sent it has long dropped the answer.
-        if (!take(report, now, isHeartbeat = true)) return nothing
+        val isNews = take(report, now, isHeartbeat = true)
         val machine = ledger.machines[report.machine] ?: return nothing
-        if (reachability.note(machine, report, now, readyAt)) signals.wakePlacement()
+        if (isNews) {
+            if (reachability.note(machine, report, now, readyAt)) signals.wakePlacement()
+        } else if (!isOvertaken(machine, report)) {
+            // A copy that comes late renews no lease: whoever sent it has long dropped the answer.
+            return nothing
+        }
+        renew(machine, report, now)
+    }
+
+    /**
+     * Whether a report that is no news may still be awaited by its worker: while it waited here, the answer to a command came,
+     * which bears a higher number. At a busy node that may happen to every report of a machine.
+     */
+    private fun isOvertaken(machine: Machine, report: WorkerReport) = machine.session == report.session &&
+        machine.id !in ledger.tombstones &&
+        report.reportNumber > machine.heartbeatNumber
+
+    /**
+     * The one place that answers a report so that its worker's lease is renewed. The lease is noted first: a renewal that this
+     * leader did not know of had it call a living worker dead, and start its tasks a second time (inc 4000-machines).
+     */
+    private fun renew(machine: Machine, report: WorkerReport, now: MonotonicTime): HeartbeatResponse {
+        machine.heartbeatNumber = report.reportNumber
         machine.answeredAt = now
         machine.answeredReport = report.reportNumber
         val orders = dispatch.outstanding(machine, inHeartbeat = report.reportNumber)
         dispatch.fenceOffStopped(machine)
-        HeartbeatResponse(dispatch.token(machine), orders)
+        return HeartbeatResponse(dispatch.token(machine), orders)
     }
 
     /** Takes a report, sent by itself or as the answer to a command; false where it is no news. The caller holds the lock. */
@@ -108,8 +129,8 @@
 
     private fun isLeaseOver(machine: Machine, ledUntil: MonotonicTime, readyAt: MonotonicTime): Boolean {
         if (machine.state != MachineState.UP && machine.state != MachineState.SILENT) return false
-        // Others may have answered in our name until then.
-        val helpedUntil = grant.electedAt + timing.helpMs
+        // Others may have answered in our name until then, and so did this node before it knew the machines.
+        val helpedUntil = maxOf(grant.electedAt + timing.helpMs, readyAt)
         if (ledUntil - maxOf(machine.answeredAt, helpedUntil) < timing.leaseOverMs) return false
         // Until the worker has shown our token, the leader before us may have answered it during its grace.
         return machine.hasSeenTerm || ledUntil - readyAt >= timing.formerLeaderMs + timing.leaseOverMs
--- a/src/main/kotlin/mountmast/transport/BoundedServer.kt
+++ b/src/main/kotlin/mountmast/transport/BoundedServer.kt
@@ -21,21 +21,42 @@
 /**
  * Requests to [path] have [threads] of their own, and up to [waiting] of them wait for one. Where requests of one kind come by
  * the hundreds at once, they neither keep all threads nor share the processor with others as so many equals.
+ *
+ * A request that has waited for [patienceMs] is refused without being looked at: whoever sent it is about to give up, and what
+ * is spent on it is missing for those that can still be answered in time.
  */
-class RequestLane(val path: String, val threads: Int, val waiting: Int, val metrics: QueueMetrics = QueueMetrics.NONE) {
+class RequestLane(
+    val path: String,
+    val threads: Int,
+    val waiting: Int,
+    val metrics: QueueMetrics = QueueMetrics.NONE,
+    private val patienceMs: Long = Long.MAX_VALUE,
+) {
     /** Whether one more request may wait while [queued] do. */
     fun admits(queued: Int): Boolean = queued < waiting
 
     /** Whether a request that has waited for [waitedMs] is still worth an answer. */
-    fun isWorthAnswering(waitedMs: Long): Boolean = waitedMs >= 0
+    fun isWorthAnswering(waitedMs: Long): Boolean = waitedMs < patienceMs
 
     companion object {
         /** A report is answered from memory, under the ledger's lock: more threads than these only wait for one another. */
         private const val REPORT_THREADS = 4
 
-        /** The lane of workers' reports, for a node with these [sockets]. */
-        fun forReports(sockets: Sockets, metrics: QueueMetrics = QueueMetrics.NONE) =
-            RequestLane(HEARTBEAT_PATH, REPORT_THREADS, sockets.waiting, metrics)
+        /** Workers wait for four seconds; the rest is for the network, and for reading and answering. */
+        private const val REPORT_PATIENCE_MS = 3000L
+
+        /**
+         * Reports are bounded by how long they wait, not by their number: each worker has one in flight, and one that is refused
+         * comes back sooner than one that is answered, at hardly less cost. This many only bound the memory.
+         */
+        private const val MAX_REPORTS_WAITING = 16_384
+
+        /** The lane of workers' reports. */
+        fun forReports(metrics: QueueMetrics = QueueMetrics.NONE) =
+            RequestLane(HEARTBEAT_PATH, REPORT_THREADS, MAX_REPORTS_WAITING, metrics, REPORT_PATIENCE_MS)
+
+        /** The lane of all that no other lane takes. */
+        fun forOthers(threads: Int, waiting: Int, metrics: QueueMetrics = QueueMetrics.NONE) = RequestLane("/", threads, waiting, metrics)
     }
 }
 
@@ -51,6 +72,9 @@
  * http4k on the JDK's server. http4k's own `SunHttp` binds every address and has an unbounded pool; this one
  * binds the address it is given and bounds threads and waiting requests. What is over the bound of a lane is answered at once,
  * what is over the server's is refused by closing the connection.
+ *
+ * [threads] read requests, and answer those that no lane takes. Where lanes take all of them few threads are enough, and more do
+ * harm: on a node short of processor time each of them takes as large a part of it as a thread that answers, or renews a lease.
  */
 class BoundedServer(
     private val at: InetSocketAddress,
@@ -58,20 +82,19 @@
     private val threads: Int,
     private val waiting: Int,
     private val lanes: List<RequestLane> = emptyList(),
-    private val metrics: QueueMetrics = QueueMetrics.NONE,
 ) : ServerConfig {
     override val stopMode = ServerConfig.StopMode.Immediate
 
     override fun toServer(http: HttpHandler): Http4kServer {
         val server = HttpServer.create(at, maxOf(BACKLOG, waiting))
         val handler = HttpExchangeHandler(http)
-        val pools = arrayListOf(pool(name, threads, waiting, metrics))
-        server.createContext("/", handler)
+        val pools = arrayListOf(pool(name, threads, waiting, QueueMetrics.NONE))
         server.executor = pools.first()
+        if (lanes.none { it.path == ANY_PATH }) server.createContext(ANY_PATH, handler)
         for (lane in lanes) {
             val pool = pool("$name-lane", lane.threads, lane.waiting, lane.metrics)
             pools += pool
-            server.createContext(lane.path) { exchange -> handOver(exchange, handler, pool, lane.metrics) }
+            server.createContext(lane.path) { exchange -> handOver(exchange, handler, pool, lane) }
         }
         return object : Http4kServer {
             override fun start() = apply { server.start() }
@@ -101,16 +124,28 @@
     }
 
     /** The exchange is answered by another thread; the one that read it is free for the next. */
-    private fun handOver(exchange: HttpExchange, handler: JdkHandler, lane: ThreadPoolExecutor, metrics: QueueMetrics) {
+    private fun handOver(exchange: HttpExchange, handler: JdkHandler, pool: ThreadPoolExecutor, lane: RequestLane) {
+        val queuedAt = System.nanoTime()
         try {
-            lane.execute { answer(exchange, handler) }
+            pool.execute {
+                val waitedMs = (System.nanoTime() - queuedAt) / NANOS_PER_MS
+                if (lane.isWorthAnswering(waitedMs)) answer(exchange, handler) else refuse(exchange, lane)
+            }
         } catch (e: RejectedExecutionException) {
-            metrics.refused.add()
             log.debug("a request is refused: {}", e.message)
+            refuse(exchange, lane)
+        }
+    }
+
+    private fun refuse(exchange: HttpExchange, lane: RequestLane) {
+        lane.metrics.refused.add()
+        try {
             exchange.responseHeaders.add("Retry-After", "1")
             exchange.sendResponseHeaders(HttpURLConnection.HTTP_UNAVAILABLE, NO_BODY)
-            exchange.close()
+        } catch (e: IOException) {
+            log.debug("a refusal did not get out: {}", e.message)
         }
+        exchange.close()
     }
 
     private fun answer(exchange: HttpExchange, handler: JdkHandler) {
@@ -134,8 +169,9 @@
     }
 
     companion object {
-        /** Threads that read the requests of users and workers, and answer those of users. */
-        const val PUBLIC_READERS = 60
+        /** Threads that read the requests of users and workers, for lanes to answer. */
+        const val PUBLIC_READERS = 4
+        private const val ANY_PATH = "/"
         private const val BACKLOG = 128
         private const val NO_BODY = -1L
         private const val IDLE_S = 30L
--- a/src/main/kotlin/mountmast/transport/Routes.kt
+++ b/src/main/kotlin/mountmast/transport/Routes.kt
@@ -26,37 +26,42 @@
 internal const val CANCEL_SUFFIX = "/cancel"
 
 /** Everything served to users, workers and health checks. */
-fun publicRoutes(
+fun publicRoutes(users: UserService, beats: HeartbeatService, admission: AdmissionLimits, metrics: Metrics = Metrics()): HttpHandler {
+    val answeredReports = metrics.counter(MetricNames.REPORTS_ANSWERED)
+    return timed(guarded { request -> route(request, users, beats, admission, metrics, answeredReports) })
+}
+
+private fun route(
+    request: Request,
     users: UserService,
     beats: HeartbeatService,
     admission: AdmissionLimits,
-    metrics: Metrics = Metrics(),
-): HttpHandler = timed(
-    guarded { request ->
-        val path = request.uri.path
-        when {
-            path == "/ready" -> request.only(Method.GET) {
-                if (users.ready()) json(200, "ready") else json(503, "not ready", retryAfterS = 1)
-            }
-            path == HEARTBEAT_PATH -> request.only(Method.POST) {
-                metrics.counter(MetricNames.REPORTS_ANSWERED).add()
-                heartbeat(request, beats)
-            }
-            path == METRICS_PATH -> request.only(Method.GET) { text(metrics.render()) }
-            path == JOBS_PATH -> request.only(Method.POST) {
-                val body = request.boundedBody() ?: return@only json(400, refusal("body: over 64 KiB"))
-                admission.submissions.admit { users.submit(body, relayed = false) }.toResponse()
-            }
-            path.startsWith("$JOBS_PATH/") && path.endsWith(CANCEL_SUFFIX) -> request.only(Method.POST) {
-                users.cancel(path.removePrefix("$JOBS_PATH/").removeSuffix(CANCEL_SUFFIX), relayed = false).toResponse()
-            }
-            path.startsWith("$JOBS_PATH/") -> request.only(Method.GET) {
-                admission.polls.admit { users.status(path.removePrefix("$JOBS_PATH/"), relayed = false) }.toResponse()
-            }
-            else -> json(404, refusal("no such path"))
+    metrics: Metrics,
+    answeredReports: Counter,
+): Response {
+    val path = request.uri.path
+    return when {
+        path == HEARTBEAT_PATH -> request.only(Method.POST) {
+            answeredReports.add()
+            heartbeat(request, beats)
+        }
+        path == "/ready" -> request.only(Method.GET) {
+            if (users.ready()) json(200, "ready") else json(503, "not ready", retryAfterS = 1)
+        }
+        path == METRICS_PATH -> request.only(Method.GET) { text(metrics.render()) }
+        path == JOBS_PATH -> request.only(Method.POST) {
+            val body = request.boundedBody() ?: return@only json(400, refusal("body: over 64 KiB"))
+            admission.submissions.admit { users.submit(body, relayed = false) }.toResponse()
         }
-    },
-)
+        path.startsWith("$JOBS_PATH/") && path.endsWith(CANCEL_SUFFIX) -> request.only(Method.POST) {
+            users.cancel(path.removePrefix("$JOBS_PATH/").removeSuffix(CANCEL_SUFFIX), relayed = false).toResponse()
+        }
+        path.startsWith("$JOBS_PATH/") -> request.only(Method.GET) {
+            admission.polls.admit { users.status(path.removePrefix("$JOBS_PATH/"), relayed = false) }.toResponse()
+        }
+        else -> json(404, refusal("no such path"))
+    }
+}
 
 private fun heartbeat(request: Request, beats: HeartbeatService): Response {
     val body = request.boundedBody() ?: return json(400, refusal("body: over 64 KiB"))
