--- a/src/main/kotlin/mountmast/coordination/CommandDispatcher.kt
+++ b/src/main/kotlin/mountmast/coordination/CommandDispatcher.kt
@@ -27,6 +27,7 @@
     private val clock: Clock,
     /** Whether the jobs are known up to a moment ago; the caller holds the lock. */
     private val isInformed: (MonotonicTime) -> Boolean,
+    private val invariants: Invariants = Invariants(),
     /** Takes the report with which a worker answers a command; called with the lock held. */
     private val onReport: (WorkerReport, MonotonicTime) -> Unit,
 ) {
@@ -66,7 +67,7 @@
         for (assignment in machine.live.values) {
             if (assignment.phase != Phase.COMMITTED || assignment.session != machine.session) continue
             val grace = assignment.stopGraceS
-            if (grace == null && assignment.reported == null && mayStart) {
+            if (grace == null && assignment.reported == null && mayStart && isStartable(assignment)) {
                 orders += Order(Verb.START, assignment.taskName, assignment.attempt)
                 if (inHeartbeat != null) assignment.startedInHeartbeat = inHeartbeat
             }
@@ -84,6 +85,14 @@
         return orders
     }
 
+    /** The one place that lets a start out: it is in the journal, and its job neither waits for others nor is cancelled. */
+    private fun isStartable(assignment: Assignment): Boolean {
+        val job = assignment.job
+        return invariants.check(assignment.written && job.isReleased && !job.cancelled) {
+            "start of ${assignment.taskName}: written ${assignment.written}, released ${job.isReleased}, cancelled ${job.cancelled}"
+        }
+    }
+
     /**
      * A start that comes once more, even one that was carried out and answered, runs an attempt again that the worker has
      * forgotten: beside the next attempt, or long after its job was cancelled. What completed would only complete again.
--- a/src/main/kotlin/mountmast/coordination/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/Controller.kt
@@ -46,6 +46,7 @@
     PeerService {
     private val timing = Timing.of(settings.leaseS, settings.cancelS, settings.clockOffMs, settings.reportS)
     private val losses = TaskLosses(metrics)
+    private val invariants = Invariants(metrics)
     private val wakeLag = metrics.timing(MetricNames.WAKE_LAG)
     private val leadership = Leadership(store, settings.node, run, timing, clock, metrics)
     private val notices = CancellationNotices(settings.members.map { it.node }, clock, timing.noticesMs)
@@ -153,7 +154,7 @@
         val leaderTerm =
             LeaderTerm(
                 grant, store, workers, settings.teams, policy, timing, clock, { it in notices }, prerequisiteLists, jobService::noteRecord,
-                losses,
+                losses, invariants,
             )
         val writer = LedgerWriter(leaderTerm, store, settings.stateLimits, clock, { formats.isCurrent }) { leadership.lost() }
         val fleet = Fleet(leaderTerm, cloud, clock, "${settings.node}-$run-${grant.term}", fleetPolicy, timing, settings.cloudRps)
@@ -229,8 +230,14 @@
         val leaderTerm = leaderComponents.get()?.leaderTerm
         if (!leadership.mayAnswerWorkers() || report.term.election > grant.term.election) return HeartbeatOutcome.Elsewhere(null)
         if (leaderTerm == null || leaderTerm.grant !== grant || !leaderTerm.mayAnswerWorkers()) return HeartbeatOutcome.Elsewhere(null)
-        if (!leaderTerm.ready) return HeartbeatOutcome.Accepted(HeartbeatResponse(maxOf(grant.term, report.term), helper.stopsOf(report)))
-        return HeartbeatOutcome.Accepted(leaderTerm.reports.heartbeat(report))
+        val receivedAt = clock.now()
+        val answer = if (leaderTerm.ready) {
+            leaderTerm.reports.heartbeat(report)
+        } else {
+            HeartbeatResponse(maxOf(grant.term, report.term), helper.stopsOf(report))
+        }
+        if (answer.term.number > 0u) leaderTerm.reports.answers.note(report.machine, receivedAt)
+        return HeartbeatOutcome.Accepted(answer)
     }
 
     /** Before a user is told of a cancellation the leader is, if it can be reached, so that nothing of the job starts after it. */
--- a/src/main/kotlin/mountmast/coordination/LeaderTerm.kt
+++ b/src/main/kotlin/mountmast/coordination/LeaderTerm.kt
@@ -31,6 +31,7 @@
     /** Told of each record of a live job that is read. */
     private val onJobRecord: (JobRecord, Stamp) -> Unit = { _, _ -> },
     losses: TaskLosses = TaskLosses(),
+    invariants: Invariants = Invariants(),
 ) {
     /** Guards the ledger and all parts of the term. Held for moments; never during I/O. */
     val lock = ReentrantLock()
@@ -45,13 +46,13 @@
     var pendingTypes: MachineTypes? = null
 
     private val dependencies = JobDependencies(ledger)
-    val reports = WorkerReports(lock, ledger, grant, reachability, signals, timing, clock)
+    val reports = WorkerReports(lock, ledger, grant, reachability, signals, timing, clock, invariants)
     val jobs = LiveJobs(lock, ledger, dependencies, signals, store, prerequisiteLists, clock, grant.watermark, JobsListener())
 
     /** Commands to the workers. */
     val dispatch = CommandDispatcher(lock, ledger, grant, workers, timing, clock, { now ->
         jobs.unknownForMs(now) < timing.ttlMs
-    }) { report, now -> reports.take(report, now, isHeartbeat = false) }
+    }, invariants) { report, now -> reports.take(report, now, isHeartbeat = false) }
 
     private val snapshots = SchedulingSnapshots(ledger, dependencies, teams, timing, clock)
     private val passes = SchedulingPasses(ledger, snapshots, dispatch, signals, policy, clock)
--- a/src/main/kotlin/mountmast/coordination/WorkerReports.kt
+++ b/src/main/kotlin/mountmast/coordination/WorkerReports.kt
@@ -3,6 +3,7 @@
 import mountmast.protocol.Clock
 import mountmast.protocol.HeartbeatResponse
 import mountmast.protocol.MonotonicTime
+import mountmast.protocol.Term
 import mountmast.protocol.WorkerReport
 import org.slf4j.LoggerFactory
 import java.util.concurrent.locks.ReentrantLock
@@ -19,7 +20,11 @@
     private val signals: TermSignals,
     private val timing: Timing,
     private val clock: Clock,
+    private val invariants: Invariants = Invariants(),
 ) {
+    /** The answers that left this node in this term. */
+    val answers = AnswerRecord()
+
     /** Commands to the workers; set once, as each needs the other. */
     lateinit var dispatch: CommandDispatcher
 
@@ -30,15 +35,14 @@
     /** Takes a worker's report and tells the worker what is outstanding. */
     fun heartbeat(report: WorkerReport): HeartbeatResponse = lock.withLock {
         val now = clock.now()
-        val nothing = HeartbeatResponse(maxOf(grant.term, report.term), emptyList())
-        val readyAt = takenFrom ?: return nothing
+        val readyAt = takenFrom ?: return NOTHING_RENEWED
         val isNews = take(report, now, isHeartbeat = true)
-        val machine = ledger.machines[report.machine] ?: return nothing
+        val machine = ledger.machines[report.machine] ?: return NOTHING_RENEWED
         if (isNews) {
             if (reachability.note(machine, report, now, readyAt)) signals.wakePlacement()
         } else if (!isOvertaken(machine, report)) {
-            // A copy that comes late renews no lease: whoever sent it has long dropped the answer.
-            return nothing
+            // A copy that comes late: whoever sent it has long dropped the answer, and could not take this one.
+            return NOTHING_RENEWED
         }
         renew(machine, report, now)
     }
@@ -118,7 +122,7 @@
         val readyAt = takenFrom ?: return
         val now = clock.now()
         for (machine in ledger.machines.values) {
-            if (!isLeaseOver(machine, ledUntil, readyAt)) continue
+            if (!isLeaseOver(machine, ledUntil, readyAt) || !isUnanswered(machine, ledUntil)) continue
             log.info("machine {} silent: its lease is over, {} tasks lost", machine.id, machine.live.size)
             ledger.endSession(machine, null, LossCause.LEASE_OVER)
             machine.state = MachineState.EXPIRED
@@ -136,6 +140,14 @@
         return machine.hasSeenTerm || ledUntil - readyAt >= timing.formerLeaderMs + timing.leaseOverMs
     }
 
+    /** A lease is called over only where no answer that may have renewed it left this node meanwhile. */
+    private fun isUnanswered(machine: Machine, ledUntil: MonotonicTime): Boolean {
+        val answeredAt = answers.lastAnswer(machine.id) ?: return true
+        return invariants.check(ledUntil - answeredAt >= timing.leaseOverMs) {
+            "the lease of ${machine.id} was to be called over ${ledUntil - answeredAt} ms after an answer that the ledger does not know of"
+        }
+    }
+
     /** Why this node had better not lead although the state service lets it, or null. */
     fun unfit(): String? = lock.withLock {
         val now = clock.now()
@@ -148,4 +160,9 @@
             else -> null
         }
     }
+
+    private companion object {
+        /** Bears no token, so that no worker takes it and no lease is renewed. */
+        val NOTHING_RENEWED = HeartbeatResponse(Term(0u), emptyList())
+    }
 }
--- a/src/main/kotlin/mountmast/transport/Metrics.kt
+++ b/src/main/kotlin/mountmast/transport/Metrics.kt
@@ -95,6 +95,7 @@
     const val MACHINES_UP = "machines_up"
     const val ASSIGNMENTS = "assignments"
     const val JOBS = "jobs"
+    const val INVARIANT_VIOLATIONS = "invariant_violations"
     const val HEAP_USED = "heap_used_mb"
     const val COLLECTIONS = "collections"
     const val COLLECTION_TIME = "collection_time_ms"
--- /dev/null
+++ b/src/test/kotlin/mountmast/soak/SoakSite.kt
@@ -0,0 +1,69 @@
+package mountmast.soak
+
+import mountmast.protocol.MachineType
+import mountmast.protocol.TeamId
+import mountmast.protocol.TeamQuota
+import mountmast.protocol.TypeId
+import mountmast.protocol.Zone
+
+/**
+ * The deployment that the soak plays, and the margins of its verdicts.
+ *
+ * The stand-ins follow this machine's clock in steps of some 20 ms, and a busy machine may hold them up. So leases and the time for
+ * cancellations are those of the settings, which the service keeps to with margins of seconds, and what must happen after the
+ * faults has [RECOVERY_MS], several times what it takes. No verdict asks for anything faster.
+ */
+object SoakSite {
+    const val NODES = 3
+    const val REPORT_MS = 1000L
+    const val LEASE_MS = 6000L
+    const val CANCEL_MS = 24_000L
+
+    /** How long all work may take after the last fault. */
+    const val RECOVERY_MS = 120_000L
+    private const val MAX_CONNECTIONS = 1000
+    val zones = listOf(Zone("a"), Zone("b"))
+    val teams = listOf(
+        TeamQuota(TeamId("red"), 16.0, 40.0, 0.0, 0.0),
+        TeamQuota(TeamId("blue"), 8.0, 24.0, 0.0, 0.0),
+        TeamQuota(TeamId("free"), 0.0, 0.0, 0.0, 0.0),
+    ).associateBy { it.id }
+    val types = listOf(
+        MachineType(TypeId("s"), 4.0, 0.0, 16.0, 20.0, 1.0, 0.3, 0.1, 2.0, zones),
+        MachineType(TypeId("l"), 16.0, 0.0, 64.0, 40.0, 1.0, 1.2, 0.38, 2.0, zones),
+    )
+
+    /** Where a node and those around it listen. */
+    class Ports(val public: Int, val peer: Int, val state: Int, val cloud: Int, val members: Map<Int, Int>)
+
+    /** The settings file of [node]. */
+    fun settings(node: Int, ports: Ports): String = buildString {
+        appendLine("node = \"node-$node\"\nsite = \"${zones[node % zones.size]}\"")
+        appendLine("serve_on = \"127.0.0.1:${ports.public}\"\npeer_listen = \"127.0.0.1:${ports.peer}\"")
+        for ((member, port) in ports.members) {
+            appendLine("[[members]]\nnode = \"node-$member\"\nsite = \"${zones[member % zones.size]}\"\nendpoint = \"127.0.0.1:$port\"")
+        }
+        appendLine("[endpoints]\ncloud = \"127.0.0.1:${ports.cloud}\"\nstate = \"127.0.0.1:${ports.state}\"")
+        appendLine("[deployment]\nsize = $NODES\nclock_off_ms = 20.0")
+        for (team in teams.values) {
+            appendLine("[[deployment.teams]]\nname = \"${team.id}\"\ncpus = ${team.cpus}\ncpus_max = ${team.cpusMax}")
+            appendLine("gpus = ${team.gpus}\ngpus_max = ${team.gpusMax}")
+        }
+        appendLine(
+            "[deployment.workers]\nreport_s = ${seconds(REPORT_MS)}\nlease_s = ${seconds(LEASE_MS)}\ncancel_s = ${seconds(CANCEL_MS)}",
+        )
+        appendLine("[deployment.state]\nrps = 3000.0\nwrite_rps = 1000.0\nvalue_kb = 8.0\ntxn_ops = 16")
+        appendLine("[deployment.cloud]\nrps = 20.0\nlist_lag_s = 3.0")
+        appendLine("[deployment.resources]\nmax_connections = $MAX_CONNECTIONS")
+    }
+
+    private fun seconds(ms: Long) = ms / 1000.0
+}
+
+/** How large a run is. */
+enum class SoakSize(val machinesPerOffer: Int, val tasksPerJob: Int) {
+    SMALL(4, 4),
+
+    /** Several hundred workers. */
+    LARGE(50, 60),
+}
--- /dev/null
+++ b/src/test/kotlin/mountmast/soak/SoakTest.kt
@@ -0,0 +1,38 @@
+package mountmast.soak
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.concurrent.Callable
+import java.util.concurrent.Executors
+
+/**
+ * Randomized faults on real processes. By hand, more seeds, some at a time:
+ *
+ *     mvn -B verify -DskipUnitTests -Dsoak.seeds=1-50 -Dsoak.parallel=4
+ */
+class SoakTest {
+    @Test
+    fun `no invariant breaks while controllers, links, machines and the state service fail`() {
+        assertTrue(ControllerProcess.isBuilt, "target/mountmast.jar is missing: run this by mvn verify")
+        val (first, last) = System.getProperty("soak.seeds", "1-2").split('-').map { it.toLong() }
+        val pool = Executors.newFixedThreadPool(System.getProperty("soak.parallel", "2").toInt())
+        val outcomes = (first..last).map { seed -> pool.submit(Callable { play(seed) }) }.map { it.get() }
+        pool.shutdown()
+        val failed = outcomes.filterNotNull()
+        println("soak: ${outcomes.size - failed.size} seeds passed, ${failed.size} failed")
+        assertEquals(emptyList<String>(), failed)
+    }
+
+    private fun play(seed: Long): String? {
+        val size = if (seed % LARGE_ONE_IN == 0L) SoakSize.LARGE else SoakSize.SMALL
+        val outcome = SoakRun(seed, size).use { it.play() }
+        println("soak seed $seed ($size): ${if (outcome == null) "passed" else "FAILED\n$outcome"}")
+        return outcome
+    }
+
+    private companion object {
+        /** Seeds of several hundred workers. */
+        const val LARGE_ONE_IN = 5L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/mountmast/soak/WorkerFleet.kt
@@ -0,0 +1,149 @@
+package mountmast.soak
+
+import kotlinx.serialization.decodeFromString
+import kotlinx.serialization.encodeToString
+import mountmast.protocol.HeartbeatResponse
+import mountmast.protocol.MachineId
+import mountmast.protocol.OrdersMessage
+import mountmast.protocol.Redirect
+import mountmast.protocol.TaskId
+import mountmast.protocol.Verb
+import mountmast.protocol.WireJson
+import mountmast.protocol.WorkerReport
+import mountmast.standin.StandInWorker
+import mountmast.transport.HttpCaller
+import mountmast.transport.NoAnswerException
+import mountmast.transport.Reply
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ExecutorService
+import java.util.concurrent.RejectedExecutionException
+import kotlin.random.Random
+
+/** The workers of a run on real sockets: each reports to one controller at a time, and takes direct commands. */
+class WorkerFleet(private val run: SoakRun, private val random: Random, private val executor: ExecutorService) : AutoCloseable {
+    private val clock get() = run.clock
+    private val caller = HttpCaller(connectMs = 500)
+    private val servers = ConcurrentHashMap<MachineId, StandInServer>()
+    private val reporting = ConcurrentHashMap.newKeySet<MachineId>()
+
+    /** Which controllers the workers reach, and which reach them, in either direction. */
+    val links = List(SoakSite.NODES) { WorkerLink() }
+
+    /** A share of the reports is copied and comes again, seconds later. */
+    @Volatile
+    var copiesReports = false
+
+    /** How a controller and the workers reach each other. */
+    class WorkerLink {
+        @Volatile
+        var reportsLost = false
+
+        @Volatile
+        var answersLost = false
+    }
+
+    /** Where [machine] takes commands, or null where it never came up. */
+    fun addressOf(machine: MachineId): String? = servers[machine]?.let { "127.0.0.1:${it.port}" }
+
+    /** Has those report whose report is due; called under the lock. */
+    fun step() {
+        for (worker in run.cloud.workers) {
+            worker.step()
+            if (!worker.alive || worker.hanging || clock.time.now < worker.nextReportAt || !reporting.add(worker.id)) continue
+            servers.computeIfAbsent(worker.id) { StandInServer(executor) { request -> command(worker, request) } }
+            val report = worker.report().copy(address = checkNotNull(addressOf(worker.id)))
+            val sentAt = clock.time.now
+            worker.nextReportAt = sentAt + SoakSite.REPORT_MS * random.nextLong(75, 125) / 100
+            if (copiesReports && random.nextInt(COPIED_ONE_IN) == 0) copyLate(report)
+            submit { report(worker, report, sentAt) }
+        }
+    }
+
+    private fun submit(act: () -> Unit) {
+        try {
+            executor.execute { clock.noting(act) }
+        } catch (e: RejectedExecutionException) {
+            // The run is over.
+        }
+    }
+
+    private fun report(worker: StandInWorker, report: WorkerReport, sentAt: Long) {
+        try {
+            val target = worker.target
+            val link = links[target]
+            val reply = if (worker.cut || worker.mute || link.reportsLost) null else post(target, report)
+            val isLost = reply == null || worker.cut || worker.deaf || link.answersLost
+            clock.locked { if (isLost) tryNext(worker) else take(worker, report, sentAt, checkNotNull(reply)) }
+        } finally {
+            reporting -= report.machine
+        }
+    }
+
+    private fun post(target: Int, report: WorkerReport): Reply? {
+        val to = InetSocketAddress(InetAddress.getLoopbackAddress(), run.publicPorts[target])
+        return try {
+            caller.call(to, "POST", "/agent/beat", WireJson.encodeToString(report).encodeToByteArray(), ANSWER_MS)
+        } catch (e: NoAnswerException) {
+            null
+        }
+    }
+
+    private fun take(worker: StandInWorker, report: WorkerReport, sentAt: Long, reply: Reply) {
+        when (reply.status) {
+            200 -> {
+                val answer = WireJson.decodeFromString<HeartbeatResponse>(reply.text)
+                noteStarts(answer.orders.filter { it.verb == Verb.START }.map { it.task })
+                worker.answered(answer.term, answer.orders, sentAt, report.session)
+            }
+            421 -> {
+                val next = WireJson.decodeFromString<Redirect>(reply.text).reportTo?.text?.substringAfterLast('-')?.toIntOrNull()
+                if (next == null || next == worker.target) return tryNext(worker)
+                worker.target = next
+                worker.nextReportAt = clock.time.now + random.nextLong(0, REDIRECT_MS)
+            }
+            else -> tryNext(worker)
+        }
+    }
+
+    private fun tryNext(worker: StandInWorker) {
+        worker.target = (worker.target + 1) % SoakSite.NODES
+        worker.nextReportAt = clock.time.now + RETRY_MS
+    }
+
+    private fun noteStarts(tasks: List<String>) {
+        for (task in tasks) TaskId.parse(task)?.let { run.rules.startCommanded(it.job, clock.time.now) }
+    }
+
+    private fun copyLate(report: WorkerReport) {
+        val target = random.nextInt(SoakSite.NODES)
+        clock.time.later(random.nextLong(1000, 2 * SoakSite.LEASE_MS)) { submit { post(target, report) } }
+    }
+
+    /** A direct command: lost, held up, or carried out at once. */
+    private fun command(worker: StandInWorker, request: StandInRequest): StandInAnswer? {
+        val message = WireJson.decodeFromString<OrdersMessage>(request.body)
+        return clock.locked {
+            if (!worker.alive || worker.cut || worker.deaf) return@locked null
+            val heldMs = if (worker.hanging) worker.hangUntil - clock.time.now else worker.commandsHeldMs
+            if (worker.hanging || clock.time.now < worker.commandsHeldUntil) {
+                clock.time.later(heldMs) { if (worker.alive) worker.ordered(message.term, message.session, message.orders) }
+                return@locked null
+            }
+            noteStarts(message.orders.filter { it.verb == Verb.START }.map { it.task })
+            val executed = worker.ordered(message.term, message.session, message.orders)
+            val report = worker.report().copy(address = checkNotNull(addressOf(worker.id)))
+            StandInAnswer(if (executed) 200 else 409, WireJson.encodeToString(report))
+        }
+    }
+
+    override fun close() = servers.values.forEach { it.close() }
+
+    private companion object {
+        const val ANSWER_MS = 4000
+        const val RETRY_MS = 1000L
+        const val REDIRECT_MS = 500L
+        const val COPIED_ONE_IN = 10
+    }
+}
--- a/src/test/kotlin/mountmast/standin/ControllerSeat.kt
+++ b/src/test/kotlin/mountmast/standin/ControllerSeat.kt
@@ -6,6 +6,8 @@
 import mountmast.protocol.Member
 import mountmast.protocol.NodeId
 import mountmast.protocol.Settings
+import mountmast.transport.MetricNames
+import mountmast.transport.Metrics
 import java.net.InetSocketAddress
 import kotlin.random.Random
 
@@ -15,6 +17,10 @@
     val zone = world.zones[number % world.zones.size]
     var trouble = Trouble(world.time)
     var controller: Controller? = null
+    private var metrics = Metrics()
+
+    /** How often the present process found one of its invariants violated. */
+    val violations: Long get() = metrics.counter(MetricNames.INVARIANT_VIOLATIONS).value
     var downUntil = 0L
 
     /** This node is elected, but gets no further. */
@@ -30,10 +36,12 @@
         started.standStill = { ms -> standStill(started, ms) }
         val drift = if (number == 0) DRIFT else 0.0
         val store = world.store.View(world.random, trouble, Random(world.seed))
+        metrics = Metrics()
         controller = Controller(
             settings(), Policy(), FleetPolicy(idleReturnMs = IDLE_RETURN_MS), version.store(store), world.cloud.View(trouble),
             world.network.workersOf(trouble), world.network.peersOf(this, trouble),
             world.time.clock(drift, world.random.nextLong(-CLOCK_OFF_MS, CLOCK_OFF_MS)), "${world.seed}-$number-${starts++}",
+            metrics,
         )
         due = LongArray(STEPS)
     }
--- a/src/test/kotlin/mountmast/standin/StandInStore.kt
+++ b/src/test/kotlin/mountmast/standin/StandInStore.kt
@@ -28,6 +28,8 @@
     private val world: VirtualTime,
     private val keptChanges: Int = 400,
     private val limits: FallingLimits = FallingLimits(),
+    /** Entries in a page of a list: few, so that listing in several parts is exercised. */
+    private val pageSize: Int = 7,
 ) {
     private class Value(val data: JsonElement, val stamp: Long, val hold: Long?)
 
@@ -185,8 +187,7 @@
         override fun list(prefix: String, after: String?, limit: Int): EntryPage = ask(false) {
             expire()
             val all = values.tailMap(prefix).entries.takeWhile { it.key.startsWith(prefix) }.filter { after == null || it.key > after }
-            // Small pages, so that listing in several parts is exercised.
-            val page = all.take(minOf(limit, 7))
+            val page = all.take(minOf(limit, pageSize))
             EntryPage(
                 page.map {
                     Entry(it.key, it.value.data, Stamp(it.value.stamp.toULong()))
--- a/src/test/kotlin/mountmast/standin/World.kt
+++ b/src/test/kotlin/mountmast/standin/World.kt
@@ -70,6 +70,7 @@
             seats.shuffled(random).forEach { it.step() }
             users.step(busy)
             rules.check(time.now)
+            seats.firstOrNull { it.violations > 0 }?.let { throw RuleBroken("invariant violated by ${it.name}, seed $seed") }
             waitingCheck.step()
         }
     }
