--- a/src/main/kotlin/mountmast/coordination/CommandDispatcher.kt
+++ b/src/main/kotlin/mountmast/coordination/CommandDispatcher.kt
@@ -85,11 +85,14 @@
         return orders
     }
 
-    /** The one place that lets a start out: it is in the journal, and its job neither waits for others nor is cancelled. */
+    /**
+     * The one place that lets a start out: it is in the journal, and its job is not known to be cancelled. Whether the job waited for
+     * others was decided before the journal was written, maybe by a leader before, which knew more of them than this one does yet.
+     */
     private fun isStartable(assignment: Assignment): Boolean {
-        val job = assignment.job
-        return invariants.check(assignment.written && job.isReleased && !job.cancelled) {
-            "start of ${assignment.taskName}: written ${assignment.written}, released ${job.isReleased}, cancelled ${job.cancelled}"
+        val isCancelled = assignment.job.cancelled
+        return invariants.check(assignment.written && !isCancelled) {
+            "start of ${assignment.taskName}: in the journal ${assignment.written}, cancelled $isCancelled"
         }
     }
 
