--- a/src/test/kotlin/mountmast/soak/SoakClock.kt
+++ b/src/test/kotlin/mountmast/soak/SoakClock.kt
@@ -55,8 +55,6 @@
     fun noting(act: () -> Unit) {
         try {
             act()
-        } catch (e: InterruptedException) {
-            Thread.currentThread().interrupt()
         } catch (e: Throwable) {
             failed(e)
         }
--- a/src/test/kotlin/mountmast/soak/SoakRun.kt
+++ b/src/test/kotlin/mountmast/soak/SoakRun.kt
@@ -91,7 +91,8 @@
     /** What the run did, in one line. */
     fun summary(): String = clock.locked {
         val alive = cloud.workers.count { it.alive }
-        "${schedule.size} faults, ${users.accepted.distinct().size} jobs accepted, ${rules.started} starts, $alive of ${cloud.rented} machines left"
+        val accepted = users.accepted.distinct().size
+        "${schedule.size} faults, $accepted jobs accepted, ${rules.started} starts, $alive of ${cloud.rented} machines left"
     }
 
     private fun now() = clock.locked { clock.time.now }
--- a/src/test/kotlin/mountmast/soak/StoreServer.kt
+++ b/src/test/kotlin/mountmast/soak/StoreServer.kt
@@ -44,16 +44,19 @@
 
     private fun answer(request: StandInRequest): StandInAnswer? = try {
         route(request)
-    } catch (e: StoreSilent) {
-        // Carried out or not, now or later: the caller is not told.
-        Thread.sleep(SILENT_MS)
-        null
-    } catch (e: HoldEnded) {
-        StandInAnswer(400, """{"error":"no such lease"}""")
-    } catch (e: StoreRejected) {
-        StandInAnswer(400, """{"error":"too large"}""")
     } catch (e: StoreException) {
-        StandInAnswer(503, """{"error":"trouble"}""")
+        refusal(e)
+    }
+
+    private fun refusal(reason: StoreException): StandInAnswer? = when (reason) {
+        is StoreSilent -> {
+            // Carried out or not, now or later: the caller is not told.
+            Thread.sleep(SILENT_MS)
+            null
+        }
+        is HoldEnded -> StandInAnswer(400, """{"error":"no such lease"}""")
+        is StoreRejected -> StandInAnswer(400, """{"error":"too large"}""")
+        else -> StandInAnswer(503, """{"error":"trouble"}""")
     }
 
     private fun route(request: StandInRequest): StandInAnswer {
--- a/src/test/kotlin/mountmast/soak/WorkerFleet.kt
+++ b/src/test/kotlin/mountmast/soak/WorkerFleet.kt
@@ -86,7 +86,8 @@
         try {
             executor.execute { clock.noting(act) }
         } catch (e: RejectedExecutionException) {
-            // The run is over.
+            // Once the run is over nothing more is reported.
+            if (!executor.isShutdown) throw e
         }
     }
 
--- a/src/test/kotlin/mountmast/transport/BoundedServerTest.kt
+++ b/src/test/kotlin/mountmast/transport/BoundedServerTest.kt
@@ -1,7 +1,9 @@
 package mountmast.transport
 
+import org.http4k.core.HttpHandler
 import org.http4k.core.Response
 import org.http4k.core.Status
+import org.http4k.server.Http4kServer
 import org.http4k.server.asServer
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -29,8 +31,8 @@
             release.await(20, TimeUnit.SECONDS)
             inside.decrementAndGet()
             Response(Status.OK).body("served")
-        }.asServer(BoundedServer(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), "test", THREADS, WAITING)).start()
-        val at = InetSocketAddress(InetAddress.getLoopbackAddress(), server.port())
+        }.startWith()
+        val at = server.address()
         val outcomes = ConcurrentLinkedQueue<String>()
         fun ask() = thread {
             outcomes += try {
@@ -64,8 +66,8 @@
                 release.await(20, TimeUnit.SECONDS)
             }
             Response(Status.OK).body("served")
-        }.asServer(BoundedServer(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), "test", THREADS, WAITING, listOf(lane))).start()
-        val at = InetSocketAddress(InetAddress.getLoopbackAddress(), server.port())
+        }.startWith(lane)
+        val at = server.address()
         val answers = ConcurrentLinkedQueue<Int>()
         fun askSlow() = thread { answers += HttpCaller().call(at, "GET", "/slow", null, 30_000).status }
         val first = askSlow()
@@ -98,8 +100,8 @@
             entered.countDown()
             release.await(20, TimeUnit.SECONDS)
             Response(Status.OK).body("served")
-        }.asServer(BoundedServer(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), "test", THREADS, WAITING, listOf(lane))).start()
-        val at = InetSocketAddress(InetAddress.getLoopbackAddress(), server.port())
+        }.startWith(lane)
+        val at = server.address()
         val answers = ConcurrentLinkedQueue<Int>()
         fun ask() = thread { answers += HttpCaller().call(at, "GET", "/slow", null, 30_000).status }
         val first = ask()
@@ -116,6 +118,11 @@
         server.stop()
     }
 
+    private fun HttpHandler.startWith(vararg lanes: RequestLane): Http4kServer =
+        asServer(BoundedServer(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), "test", THREADS, WAITING, lanes.toList())).start()
+
+    private fun Http4kServer.address() = InetSocketAddress(InetAddress.getLoopbackAddress(), port())
+
     private companion object {
         const val THREADS = 2
         const val WAITING = 3
--- a/src/test/kotlin/mountmast/transport/ReportLoad.kt
+++ b/src/test/kotlin/mountmast/transport/ReportLoad.kt
@@ -4,9 +4,9 @@
 import kotlin.random.Random
 
 /**
- * Workers that report to one node, as PROTOCOL describes them, and the processor of that node, in virtual time. Requests are read by
- * [readers] threads; whether a report may wait, and whether it is answered, is [lane]'s to say. A worker that is refused or not answered in time asks the next
- * node, which sends it back.
+ * Workers that report to one node, as PROTOCOL describes them, and the processor of that node, in virtual time. Requests are read
+ * by [readers] threads; whether a report may wait, and whether it is answered, is [lane]'s to say. A worker that is refused or not
+ * answered in time asks the next node, which sends it back.
  */
 class ReportLoad(seed: Long, workers: Int, private val readers: Int, private val lane: RequestLane) {
     private class Worker(var answeredSentAt: Long = 0, var awaited: Request? = null)
