Review: the stand-ins beside the report, so that each folder of review/ is a case

Need: review/rig is no case, but stood where only cases stand.

Done: its sources moved to review/; review/build.sh and the report follow. No source was changed.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-javac -d target/review review/rig/*.java review/[0-9]/*.java
+javac -d target/review review/*.java review/[0-9]/*.java
