Log and count the attempts that workers are told to forget uncompleted

Neither log nor metrics told which of three things happened: the old leader had the attempts forgotten while their start could still be executed; the worker remembered them until its next incarnation or the next leader; or the new leader started them itself before it knew of the cancellation.

Done: the leader keeps the highest token under which it sent a start directly to a machine, logs at info each answer that has a worker forget attempts that did not complete, with the token of that answer and that of the last direct start, and counts them (mountmast_uncompleted_attempts_forgotten_total). Behaviour is unchanged.

--- a/src/main/kotlin/mountmast/coordination/controller/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/controller/Controller.kt
@@ -12,6 +12,7 @@
 import mountmast.coordination.membership.PeerMembership
 import mountmast.coordination.state.Invariants
 import mountmast.coordination.state.TaskLosses
+import mountmast.coordination.workers.ForgottenAttempts
 import mountmast.coordination.workers.LeaseRenewalDelegate
 import mountmast.protocol.Clock
 import mountmast.protocol.Heartbeat
@@ -86,7 +87,7 @@
         clock,
         prerequisiteLists,
         BroadcastJobCache(),
-        LeaderTermEnvironment.Diagnostics(taskLosses, invariantChecker),
+        LeaderTermEnvironment.Diagnostics(taskLosses, invariantChecker, ForgottenAttempts(metrics)),
     )
     private val componentsFactory =
         LeaderComponentsFactory(settings, operatorSettings, runId, systems.cloud, environment, election, formats)
--- a/src/main/kotlin/mountmast/coordination/controller/LeaderTerm.kt
+++ b/src/main/kotlin/mountmast/coordination/controller/LeaderTerm.kt
@@ -57,7 +57,6 @@
     private val prerequisiteLists = environment.prerequisiteLists
     private val jobCache = environment.jobCache
     private val taskLosses = environment.diagnostics.taskLosses
-    private val invariantChecker = environment.diagnostics.invariantChecker
 
     /** Guards [cluster] and the components of the term. Held briefly, and never during I/O. */
     override val lock = ReentrantLock()
@@ -87,7 +86,9 @@
             JobsListener(),
         )
 
-    private val workerContext = WorkerContext(lock, cluster, leaderLease, signals, timing, clock, invariantChecker)
+    private val workerContext = environment.diagnostics.let {
+        WorkerContext(lock, cluster, leaderLease, signals, timing, clock, it.invariantChecker, it.forgottenAttempts)
+    }
     private val outstandingCommands = OutstandingCommands(workerContext) { now -> jobs.stalenessMs(now) < timing.ttlMs }
 
     /** Applies the workers' heartbeats to the cluster state and creates the responses. */
--- a/src/main/kotlin/mountmast/coordination/controller/LeaderTermEnvironment.kt
+++ b/src/main/kotlin/mountmast/coordination/controller/LeaderTermEnvironment.kt
@@ -3,6 +3,7 @@
 import mountmast.coordination.election.LeaseTiming
 import mountmast.coordination.state.Invariants
 import mountmast.coordination.state.TaskLosses
+import mountmast.coordination.workers.ForgottenAttempts
 import mountmast.protocol.Clock
 import mountmast.protocol.JobId
 import mountmast.protocol.ModRevision
@@ -21,8 +22,12 @@
     val jobCache: NodeJobCache = NodeJobCache.Empty,
     val diagnostics: Diagnostics = Diagnostics(),
 ) {
-    /** Counters that outlive a term: lost tasks by cause, and violations of invariants. */
-    class Diagnostics(val taskLosses: TaskLosses = TaskLosses(), val invariantChecker: Invariants = Invariants())
+    /** Counters that outlive a term: lost tasks by cause, violations of invariants, and attempts that workers were told to forget. */
+    class Diagnostics(
+        val taskLosses: TaskLosses = TaskLosses(),
+        val invariantChecker: Invariants = Invariants(),
+        val forgottenAttempts: ForgottenAttempts = ForgottenAttempts(),
+    )
 }
 
 /** The jobs and cancellations that a node caches even while it does not lead. Called with the term's lock held: must not do I/O. */
--- a/src/main/kotlin/mountmast/coordination/state/CommandDeliveryState.kt
+++ b/src/main/kotlin/mountmast/coordination/state/CommandDeliveryState.kt
@@ -28,9 +28,17 @@
      */
     private val unansweredStarts = HashMap<TaskAttempt, Int>()
 
-    /** Records that a request with commands is being sent. */
-    fun beginRequest() {
+    /**
+     * The highest token offset of a request in this term that carried a start command, or null if there was none. A duplicate of such a
+     * request may arrive much later, even of one that was answered; the worker rejects it once it has seen a higher token.
+     */
+    var highestStartOffset: Int? = null
+        private set
+
+    /** Records that a request with commands is being sent; [carriesStart] tells whether a start command is among them. */
+    fun beginRequest(carriesStart: Boolean) {
         isRequestInFlight = true
+        if (carriesStart) highestStartOffset = tokenOffset
     }
 
     /** Records that a request without commands, which announces the new leader, is being sent at [now]. */
--- a/src/main/kotlin/mountmast/coordination/workers/CommandSender.kt
+++ b/src/main/kotlin/mountmast/coordination/workers/CommandSender.kt
@@ -40,7 +40,7 @@
      */
     fun prepareRequest(machine: Machine, incarnation: WorkerIncarnation, commands: List<WorkerCommand>): OutgoingRequest {
         forEachStart(machine, commands) { it.startDelivery.beginRequest() }
-        machine.delivery.beginRequest()
+        machine.delivery.beginRequest(carriesStart = commands.any { it.type == CommandType.START })
         return OutgoingRequest(machine, incarnation, commands)
     }
 
--- a/src/main/kotlin/mountmast/coordination/workers/OutstandingCommands.kt
+++ b/src/main/kotlin/mountmast/coordination/workers/OutstandingCommands.kt
@@ -9,6 +9,9 @@
 import mountmast.protocol.HeartbeatSequence
 import mountmast.protocol.MonotonicTime
 import mountmast.protocol.WorkerCommand
+import org.slf4j.LoggerFactory
+
+private val log = LoggerFactory.getLogger("mountmast.commands")
 
 /**
  * Determines which commands are outstanding for a worker, and the fencing token under which they are sent. Guarded by the lock of the
@@ -53,14 +56,34 @@
     fun collectForResponse(machine: Machine, sequence: HeartbeatSequence): List<WorkerCommand> {
         val commands = ArrayList<WorkerCommand>()
         addAssignmentCommands(commands, machine) { it.startDelivery.recordAnswer(sequence) }
+        addUnassignedTaskCommands(commands, machine)
+        return commands
+    }
+
+    /** Adds the commands that stop the unassigned tasks of [machine], and that make its worker forget those that have exited. */
+    private fun addUnassignedTaskCommands(commands: MutableList<WorkerCommand>, machine: Machine) {
+        var uncompletedCount = 0
         for (task in machine.unassignedTasks) {
             if (!task.hasExited) {
                 commands += WorkerCommand(CommandType.STOP, task.taskName, task.attempt, 0.0)
             } else if (mayBeForgotten(task, machine)) {
                 commands += WorkerCommand(CommandType.FORGET, task.taskName, task.attempt)
+                if (!task.isCompleted) uncompletedCount++
             }
         }
-        return commands
+        if (uncompletedCount > 0) recordForgotten(machine, uncompletedCount)
+    }
+
+    private fun recordForgotten(machine: Machine, uncompletedCount: Int) {
+        context.forgottenAttempts.recordUncompleted(uncompletedCount)
+        val highestStartToken = machine.delivery.highestStartOffset?.let(leaderLease.token::advancedBy)
+        log.info(
+            "machine={} is told to forget {} attempts that did not complete, under token={}; starts were sent directly up to token={}",
+            machine.id,
+            uncompletedCount,
+            tokenFor(machine),
+            highestStartToken,
+        )
     }
 
     /** Returns the start and stop commands to send directly to [machine], outside of heartbeat responses. */
--- a/src/main/kotlin/mountmast/coordination/workers/WorkerContext.kt
+++ b/src/main/kotlin/mountmast/coordination/workers/WorkerContext.kt
@@ -21,6 +21,7 @@
     val timing: LeaseTiming,
     val clock: Clock,
     val invariantChecker: Invariants = Invariants(),
+    val forgottenAttempts: ForgottenAttempts = ForgottenAttempts(),
 ) {
     /** When this leader had loaded its state, or null before that. While it is null, no heartbeat is reconciled and no lease expires. */
     @Volatile
--- a/src/main/kotlin/mountmast/transport/Metrics.kt
+++ b/src/main/kotlin/mountmast/transport/Metrics.kt
@@ -96,6 +96,7 @@
     const val ASSIGNMENTS = "assignments"
     const val JOBS = "jobs"
     const val INVARIANT_VIOLATIONS = "invariant_violations"
+    const val UNCOMPLETED_ATTEMPTS_FORGOTTEN = "uncompleted_attempts_forgotten"
     const val HEAP_USED = "heap_used_mb"
     const val COLLECTIONS = "collections"
     const val COLLECTION_TIME = "collection_time_ms"
