Stand-in worker: each attempt is kept for itself, and a refused start is reported

Need: PROTOCOL has an exited attempt listed until a forget command, each by task and attempt, and a start refused with in_use as an exited attempt.

Done: attempts are kept by task and attempt; a start that is refused since the task is there already is listed as exited. The checks are unchanged.

--- a/src/test/kotlin/mountmast/standin/SimulatedWorker.kt
+++ b/src/test/kotlin/mountmast/standin/SimulatedWorker.kt
@@ -35,13 +35,16 @@
     /** Called with its job when a task completes on this worker. */
     private val onDone: (JobId) -> Unit,
 ) {
-    private class TaskExecution(val attempt: Attempt, val spec: JobSpec, var state: TaskState, var remainingMs: Long) {
+    /** An attempt that the worker knows: from its start command until a `forget` command or the end of the lease. */
+    private data class TaskAttempt(val task: TaskId, val attempt: Attempt)
+
+    private class TaskExecution(val spec: JobSpec, var state: TaskState, var remainingMs: Long) {
         var cause: ExitCause? = null
         var isCheckpointStored = false
         val isRunning get() = state == TaskState.RUNNING || state == TaskState.SAVING
     }
 
-    private val tasks = LinkedHashMap<TaskId, TaskExecution>()
+    private val attempts = LinkedHashMap<TaskAttempt, TaskExecution>()
     private val images = HashSet<ImageId>()
 
     /** Tasks that completed on this worker; if started again, they exit as soon as their image has been fetched. */
@@ -90,7 +93,7 @@
     /** Index of the node that gets the next heartbeat. */
     var targetNodeIndex = 0
 
-    val hasRunningTasks get() = isAlive && tasks.values.any { it.isRunning }
+    val hasRunningTasks get() = isAlive && attempts.values.any { it.isRunning }
     val isHanging get() = time.now < hangUntil
     val isPartitioned get() = time.now < partitionedUntil
     val isInboundCut get() = time.now < inboundCutUntil
@@ -105,8 +108,8 @@
         return Heartbeat(
             id, address, type.id, zone, spot, WorkerIncarnation(incarnation), HeartbeatSequence(sequence), highestToken,
             noticeEndsAt?.let { (it - time.now) / 1000.0 },
-            tasks.map { (task, execution) ->
-                ReportedTask(task.toString(), execution.attempt, execution.state, execution.cause, execution.isCheckpointStored)
+            attempts.map { (key, execution) ->
+                ReportedTask(key.task.toString(), key.attempt, execution.state, execution.cause, execution.isCheckpointStored)
             },
         )
     }
@@ -119,7 +122,8 @@
         // A machine that hangs for longer than its lease loses its tasks.
         if (time.now - leaseRenewedAt > leaseMs) loseLease()
         if (isHanging) return
-        for ((task, execution) in tasks) {
+        for ((key, execution) in attempts) {
+            val task = key.task
             if (execution.state == TaskState.EXITED) continue
             execution.remainingMs -= elapsedMs
             if (execution.remainingMs > 0) continue
@@ -157,7 +161,7 @@
     /** Ends all tasks and begins a new incarnation. */
     private fun loseLease() {
         endAllTasks()
-        tasks.clear()
+        attempts.clear()
         incarnation++
         leaseRenewedAt = time.now
     }
@@ -169,14 +173,14 @@
     }
 
     private fun endAllTasks() {
-        for ((task, execution) in tasks) if (execution.isRunning) invariants.recordTaskEnd(task, id, done = false)
+        for ((key, execution) in attempts) if (execution.isRunning) invariants.recordTaskEnd(key.task, id, done = false)
     }
 
     /** Ends all tasks, as the machine was terminated. */
     fun terminate() {
         isAlive = false
         endAllTasks()
-        tasks.clear()
+        attempts.clear()
     }
 
     /** Processes the answer to the heartbeat that was sent at [sentAt] in incarnation [ofIncarnation]. Ignores outdated answers. */
@@ -197,27 +201,28 @@
 
     private fun execute(command: WorkerCommand) {
         val task = TaskId.parse(command.task) ?: return
-        val known = tasks[task]
+        val key = TaskAttempt(task, command.attempt)
+        val known = attempts[key]
         when (command.type) {
-            CommandType.START -> if (known?.attempt != command.attempt) start(task, command.attempt, known)
-            CommandType.STOP -> if (known != null && known.attempt == command.attempt) stop(task, known, command.terminationGraceS ?: 0.0)
-            CommandType.FORGET -> if (known != null && known.attempt == command.attempt && known.state == TaskState.EXITED) tasks -= task
+            CommandType.START -> if (known == null) start(key)
+            CommandType.STOP -> if (known != null) stop(task, known, command.terminationGraceS ?: 0.0)
+            CommandType.FORGET -> if (known?.state == TaskState.EXITED) attempts -= key
         }
     }
 
-    private fun start(task: TaskId, attempt: Attempt, known: TaskExecution?) {
+    private fun start(key: TaskAttempt) {
+        val task = key.task
         val spec = jobOf(task.job)
         val startError = when {
             spec == null || task.index >= spec.tasks -> ExitCause.UNKNOWN
-            known != null && known.state != TaskState.EXITED -> ExitCause.BUSY
+            attempts.any { (other, execution) -> other.task == task && execution.state != TaskState.EXITED } -> ExitCause.BUSY
             !spec.perTask.fitsWithin(freeCapacity()) -> ExitCause.NO_ROOM
             else -> null
         }
         if (spec == null) return
-        if (startError == ExitCause.BUSY) return
         val fetchMs = if (spec.image in images) 0L else (spec.imageGb / type.fetchGbPerS * 1000).toLong()
-        val execution = TaskExecution(attempt, spec, TaskState.FETCHING, fetchMs)
-        tasks[task] = execution
+        val execution = TaskExecution(spec, TaskState.FETCHING, fetchMs)
+        attempts[key] = execution
         if (startError != null) {
             execution.state = TaskState.EXITED
             execution.cause = startError
@@ -244,7 +249,7 @@
     /** Returns the capacity that no task on this worker takes. */
     fun freeCapacity(): Resources {
         var free = type.capacity
-        for (execution in tasks.values) if (execution.state != TaskState.EXITED) free -= execution.spec.perTask
+        for (execution in attempts.values) if (execution.state != TaskState.EXITED) free -= execution.spec.perTask
         return free
     }
 }
