Workers forget uncompleted attempts only under a token that fences off their start

A job of 100 tasks on one machine is called cancelled and its tasks end. 45 s later the leader ends, a request to the worker that was carried out and answered arrives once more, and all 100 tasks start again.

Cause: a repeated start runs an attempt again that its worker has forgotten, so attempts that did not complete were not forgotten within an incarnation. To bound heartbeats that guard was given up beyond 64 attempts: all were forgotten, under the token with which their start had been sent. It held for whatever exits without completing: cancelled, drained, preempted, failed. The other side of the bound: attempts that completed but whose start got no answer were never forgotten beyond 64, so the heartbeats were not bounded either.

Evidence: the log line of the commits before: "is told to forget 100 attempts that did not complete, under token=1; starts were sent directly up to token=1", 42 s before the end; no new incarnation, and the starts came by the repeated request, 6 s before the new leader's first answer.

Change: when a worker lists more than 64 attempts without an assignment, the leader first raises that machine's token above every direct request with a start that it has sent there, and has the attempts forgotten in the very answer that bears the higher token. The answer is made in one place (OutstandingCommands.createResponse). An invariant checks each such forget.

Why it works: a worker that executes the commands of an answer has seen its token, and refuses all requests below it from then on; one that drops the answer forgets nothing. Requests of earlier terms have lower tokens, those for another incarnation are refused. The bound of 64 now decides when the token is raised, not whether. Nothing else grows: one number a machine, no request to the state service, the same forget commands as before.

--- a/src/main/kotlin/mountmast/coordination/state/CommandDeliveryState.kt
+++ b/src/main/kotlin/mountmast/coordination/state/CommandDeliveryState.kt
@@ -35,6 +35,12 @@
     var highestStartOffset: Int? = null
         private set
 
+    /**
+     * Whether the current token is above that of every request with a start command that was sent so far. A worker that has accepted a
+     * message under the current token rejects all of these requests, and those of earlier terms, whose tokens are lower.
+     */
+    val areStartsFencedOff: Boolean get() = highestStartOffset.let { it == null || it < tokenOffset }
+
     /** Records that a request with commands is being sent; [carriesStart] tells whether a start command is among them. */
     fun beginRequest(carriesStart: Boolean) {
         isRequestInFlight = true
@@ -74,6 +80,12 @@
         tokenOffset = maxOf(tokenOffset, requestTokenOffset + 1)
     }
 
+    /** Raises the fencing token above that of every request with a start command that was sent so far. */
+    fun fenceOffAllStarts() {
+        val highest = highestStartOffset ?: return
+        tokenOffset = maxOf(tokenOffset, highest + 1)
+    }
+
     /** Records that the worker shows the token offset [shownOffset]: from now on it refuses requests with a lower offset. */
     fun observeTokenOffset(shownOffset: Int) {
         tokenOffset = maxOf(tokenOffset, shownOffset)
--- a/src/main/kotlin/mountmast/coordination/workers/HeartbeatHandler.kt
+++ b/src/main/kotlin/mountmast/coordination/workers/HeartbeatHandler.kt
@@ -62,9 +62,7 @@
      */
     private fun renewLease(machine: Machine, heartbeat: Heartbeat, now: MonotonicTime): HeartbeatResponse {
         machine.worker.recordLeaseRenewal(heartbeat.sequence, now)
-        val commands = outstandingCommands.collectForResponse(machine, heartbeat.sequence)
-        outstandingCommands.fenceOffStoppedTasks(machine)
-        return HeartbeatResponse(outstandingCommands.tokenFor(machine), commands)
+        return outstandingCommands.createResponse(machine, heartbeat.sequence)
     }
 
     private fun reconcile(heartbeat: Heartbeat, now: MonotonicTime, origin: Origin): HeartbeatReconciliation {
--- a/src/main/kotlin/mountmast/coordination/workers/OutstandingCommands.kt
+++ b/src/main/kotlin/mountmast/coordination/workers/OutstandingCommands.kt
@@ -6,6 +6,7 @@
 import mountmast.coordination.state.UnassignedTask
 import mountmast.protocol.CommandType
 import mountmast.protocol.FencingToken
+import mountmast.protocol.HeartbeatResponse
 import mountmast.protocol.HeartbeatSequence
 import mountmast.protocol.MonotonicTime
 import mountmast.protocol.WorkerCommand
@@ -25,7 +26,7 @@
     private val leaderLease get() = context.leaderLease
 
     /** Returns the fencing token for commands to [machine] and responses to its heartbeats. */
-    fun tokenFor(machine: Machine): FencingToken = leaderLease.token.advancedBy(machine.delivery.tokenOffset)
+    private fun tokenFor(machine: Machine): FencingToken = leaderLease.token.advancedBy(machine.delivery.tokenOffset)
 
     /**
      * Raises the token of [machine] above the tokens of unanswered start commands whose tasks are to be stopped by now. Such a command may
@@ -33,7 +34,7 @@
      * worker shows the higher token, a task that its heartbeat does not list can no longer start. Test: `CombinedFailuresTest`, "a start
      * held up until after its job was cancelled starts nothing once its worker has shown a higher token".
      */
-    fun fenceOffStoppedTasks(machine: Machine) {
+    private fun fenceOffStoppedTasks(machine: Machine) {
         for (assignment in machine.unreleasedAssignments.values) {
             val isStoppedUnreported = assignment.terminationGraceS != null && assignment.reportedState == null
             if (isStoppedUnreported) machine.delivery.fenceOffStart(assignment.taskName, assignment.attempt)
@@ -50,23 +51,31 @@
     }
 
     /**
-     * Returns the commands for the response to the heartbeat [sequence] of [machine]: all commands that its worker has not shown to have
-     * executed. Records for each start that the response to this heartbeat carries it.
+     * Returns the response to the heartbeat [sequence] of [machine]: all commands that its worker has not shown to have executed, and a
+     * token that renews its lease. Records for each start that the response to this heartbeat carries it.
      */
-    fun collectForResponse(machine: Machine, sequence: HeartbeatSequence): List<WorkerCommand> {
+    fun createResponse(machine: Machine, sequence: HeartbeatSequence): HeartbeatResponse {
         val commands = ArrayList<WorkerCommand>()
         addAssignmentCommands(commands, machine) { it.startDelivery.recordAnswer(sequence) }
         addUnassignedTaskCommands(commands, machine)
-        return commands
+        fenceOffStoppedTasks(machine)
+        // Read last: the token must be above those from which tasks were fenced off for the commands.
+        return HeartbeatResponse(tokenFor(machine), commands)
     }
 
-    /** Adds the commands that stop the unassigned tasks of [machine], and that make its worker forget those that have exited. */
+    /**
+     * Adds the commands that stop the unassigned tasks of [machine], and that make its worker forget those that have exited. A worker that
+     * lists too many is made to forget all of them; the token of the same response is raised first, so that a worker which executes the
+     * commands rejects every request that may start one of them again.
+     */
     private fun addUnassignedTaskCommands(commands: MutableList<WorkerCommand>, machine: Machine) {
+        val listsTooMany = machine.unassignedTasks.size > MAX_REMEMBERED_ATTEMPTS
+        if (listsTooMany) machine.delivery.fenceOffAllStarts()
         var uncompletedCount = 0
         for (task in machine.unassignedTasks) {
             if (!task.hasExited) {
                 commands += WorkerCommand(CommandType.STOP, task.taskName, task.attempt, 0.0)
-            } else if (mayBeForgotten(task, machine)) {
+            } else if ((task.isCompleted || listsTooMany) && mayBeForgotten(task, machine)) {
                 commands += WorkerCommand(CommandType.FORGET, task.taskName, task.attempt)
                 if (!task.isCompleted) uncompletedCount++
             }
@@ -118,17 +127,22 @@
     }
 
     /**
-     * Whether the worker may be told to forget [task]. A duplicate of a start command, even of one that was executed and answered, runs an
-     * attempt again that the worker has forgotten: concurrently with the next attempt, or long after the job was cancelled. An attempt
-     * that completed would only complete again. Test: `RecoveryTest`, "an attempt that was stopped is not forgotten, since its start may
-     * come once more".
+     * Whether the worker may be told to forget [task], which has exited. A duplicate of a start command, even of one that was executed and
+     * answered, runs an attempt again that the worker has forgotten: concurrently with the next attempt, or long after the job was
+     * cancelled. So an attempt that did not complete may be forgotten only once its start is fenced off; one that completed would only
+     * complete again. This is the only check before a `forget` command is sent. Tests: `ForgottenAttemptsTest`; `RecoveryTest`, "an
+     * attempt that was stopped is not forgotten, since its start may come once more".
      */
-    private fun mayBeForgotten(task: UnassignedTask, machine: Machine) =
-        (task.isCompleted || machine.unassignedTasks.size > MAX_REMEMBERED_ATTEMPTS) &&
-            !machine.delivery.hasUnansweredStart(task.taskName, task.attempt)
+    private fun mayBeForgotten(task: UnassignedTask, machine: Machine): Boolean {
+        if (machine.delivery.hasUnansweredStart(task.taskName, task.attempt)) return false
+        return task.isCompleted ||
+            context.invariantChecker.check(machine.delivery.areStartsFencedOff) {
+                "must not have machine=${machine.id} forget task=${task.taskName} attempt=${task.attempt}: its start is not fenced off"
+            }
+    }
 
     private companion object {
-        /** With more unassigned attempts, a worker is told to forget uncompleted ones, too: its heartbeats must stay bounded. */
+        /** A worker that lists more unassigned attempts is made to forget uncompleted ones, too: its heartbeats must stay bounded. */
         const val MAX_REMEMBERED_ATTEMPTS = 64
     }
 }
--- a/src/test/kotlin/mountmast/coordination/controller/RulesUnderFailureTest.kt
+++ b/src/test/kotlin/mountmast/coordination/controller/RulesUnderFailureTest.kt
@@ -1,16 +1,13 @@
 package mountmast.coordination.controller
 
 import mountmast.standin.SimulatedCluster
+import mountmast.standin.daySeeds
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
 /** Simulates random days in virtual time. A failure names its seed; `-Dmountmast.seed=N` runs that seed alone. */
 class RulesUnderFailureTest {
-    /** The seeds 1 to [count], or 1 to N with `-Dmountmast.days=N`, or only N with `-Dmountmast.seed=N`. */
-    private fun seeds(count: Int): LongRange = System.getProperty("mountmast.seed")?.toLong()?.let { it..it }
-        ?: 1L..(System.getProperty("mountmast.days")?.toLong() ?: count.toLong())
-
     private fun simulateDay(seed: Long, isQuiet: Boolean, failures: Int) {
         val world = SimulatedCluster(seed, isQuiet)
         try {
@@ -39,10 +36,12 @@
     }
 
     @Test
-    fun `a quiet day keeps the rules and gets all work done`() = seeds(10).forEach { simulateDay(it, isQuiet = true, failures = 0) }
+    fun `a quiet day keeps the rules and gets all work done`() = daySeeds(10).forEach { simulateDay(it, isQuiet = true, failures = 0) }
 
     @Test
-    fun `failures of every kind, alone and together, break no rule`() = seeds(60).forEach { simulateDay(it, isQuiet = false, failures = 8) }
+    fun `failures of every kind, alone and together, break no rule`() = daySeeds(60).forEach {
+        simulateDay(it, isQuiet = false, failures = 8)
+    }
 
     private companion object {
         const val LONGEST_FAILURE_MS = 2 * SimulatedCluster.CANCEL_MS + 5000
--- a/src/test/kotlin/mountmast/standin/SimulatedNetwork.kt
+++ b/src/test/kotlin/mountmast/standin/SimulatedNetwork.kt
@@ -35,6 +35,9 @@
     /** How long, in milliseconds, a heartbeat waits at its node before it is processed; commands and their answers are not delayed. */
     var heartbeatQueueDelayMs = 0L
 
+    /** Called with each direct command request that a worker executed. */
+    var onCommandsExecuted: (SimulatedWorker, CommandRequest) -> Unit = { _, _ -> }
+
     /** Number of command requests sent to workers. */
     var commandsSent = 0
         private set
@@ -102,6 +105,7 @@
     private fun execute(worker: SimulatedWorker, message: CommandRequest): CommandOutcome {
         time.record { "worker ${worker.id.text} gets ${WireJson.encodeToString(message)}" }
         return if (worker.execute(message.token, message.incarnation, message.commands)) {
+            onCommandsExecuted(worker, message)
             CommandOutcome.Executed(worker.heartbeat())
         } else {
             CommandOutcome.Rejected(worker.heartbeat())
