A cancelled prerequisite counts by what was read, not by what a cache still holds

PrerequisiteEvaluator put the final states of a level into the cache and then asked the cache whether one of them is cancelled.

Why it works: the states that were read decide; they are the ones that the answer has to be as new as. A level with a cancelled job is also left before any list of prerequisites is read.

--- a/src/main/kotlin/mountmast/coordination/jobs/PrerequisiteEvaluator.kt
+++ b/src/main/kotlin/mountmast/coordination/jobs/PrerequisiteEvaluator.kt
@@ -3,6 +3,7 @@
 import com.google.common.cache.Cache
 import com.google.common.cache.CacheBuilder
 import mountmast.protocol.JobId
+import mountmast.protocol.JobStatus
 import mountmast.storage.JobRecord
 import mountmast.storage.PrerequisiteLists
 import org.slf4j.LoggerFactory
@@ -81,15 +82,24 @@
 
     /** Returns the direct prerequisites of the live jobs in [states], unless one of [states] is cancelled; caches the final states. */
     private fun expandLevel(states: Map<JobId, JobState>): Expansion {
+        // Decided by what was read: the cache may have dropped a final state by the time the others are added.
+        for ((id, state) in states) if (state is JobState.Finished) finalStateCache[id] = state.record
+        if (states.values.any(::isCancelled)) return Expansion.FoundCancelled
         val next = ArrayList<JobId>()
         for ((id, state) in states) {
             when (state) {
-                is JobState.Finished -> finalStateCache[id] = state.record
-                is JobState.Live -> if (state.record.cancelled) return Expansion.FoundCancelled else next += readPrerequisites(state.record)
+                is JobState.Finished -> {}
+                is JobState.Live -> next += readPrerequisites(state.record)
                 JobState.Unknown -> log.error("prerequisite job={} is not in the store", id)
             }
         }
-        return if (states.keys.any(finalStateCache::isCancelled)) Expansion.FoundCancelled else Expansion.NextLevel(next)
+        return Expansion.NextLevel(next)
+    }
+
+    private fun isCancelled(state: JobState): Boolean = when (state) {
+        is JobState.Finished -> state.record.status == JobStatus.CANCELLED
+        is JobState.Live -> state.record.cancelled
+        JobState.Unknown -> false
     }
 
     /**
