--- a/src/main/kotlin/mountmast/coordination/state/Machine.kt
+++ b/src/main/kotlin/mountmast/coordination/state/Machine.kt
@@ -49,8 +49,6 @@
     val hasShownCurrentTerm by worker::hasShownCurrentTerm
     val unassignedTasks by worker::unassignedTasks
 
-    val isCommandRequestInFlight by delivery::isRequestInFlight
-    val nextCommandNotBefore by delivery::notBefore
     val announcedAt by delivery::announcedAt
     val tokenOffset by delivery::tokenOffset
 
--- a/src/test/kotlin/mountmast/coordination/workers/ForgottenAttemptsTest.kt
+++ b/src/test/kotlin/mountmast/coordination/workers/ForgottenAttemptsTest.kt
@@ -78,13 +78,11 @@
 
     private fun exitedCount(worker: SimulatedWorker) = worker.heartbeat().tasks.count { it.state == TaskState.EXITED }
 
-    /** Guards against ran_cancelled: more attempts than a worker remembers were cancelled, and a request that started them is repeated. */
-    @Test
-    fun `a repeated start runs no task of a large job that was cancelled, even after its leader has crashed`() = forEachSeed {
-        val other = acceptSmallTasks(1, tasks = 1)
-        val id = acceptSmallTasks(2)
-        val worker = awaitOnOneMachine(id)
-        assertEquals(200, world.cancel(id))
+    /**
+     * Waits until the tasks of the cancelled job [id] must be gone from [worker], which goes on with [other], crashes the leader, and checks
+     * that repeated requests start none of them.
+     */
+    private fun Scenario.assertRepeatsStartNothing(id: JobId, other: JobId, worker: SimulatedWorker) {
         world.run(SimulatedCluster.CANCEL_MS + 5000, busy = false)
         assertEquals(1, world.invariants.runningTaskCountOf(other), "the machine is still in use")
         assertTrue(exitedCount(worker) <= REMEMBERED_ATTEMPTS, "the worker lists ${exitedCount(worker)} exited attempts")
@@ -95,6 +93,16 @@
         assertEquals(startsBefore, world.invariants.startCountOf(id), "starts of the cancelled job")
     }
 
+    /** Guards against ran_cancelled: more attempts than a worker remembers were cancelled, and a request that started them is repeated. */
+    @Test
+    fun `a repeated start runs no task of a large job that was cancelled, even after its leader has crashed`() = forEachSeed {
+        val other = acceptSmallTasks(1, tasks = 1)
+        val id = acceptSmallTasks(2)
+        val worker = awaitOnOneMachine(id)
+        assertEquals(200, world.cancel(id))
+        assertRepeatsStartNothing(id, other, worker)
+    }
+
     /** Guards against ran_twice: more attempts than a worker remembers failed, and their start is repeated beside the next attempts. */
     @Test
     fun `a repeated start runs no attempt that has failed beside the next attempt`() = forEachSeed {
@@ -135,13 +143,19 @@
         leaderHost().crash(4000)
         world.run(500, busy = false)
         repeat(100) { if (world.cancel(id) != 200) world.run(100, busy = false) }
-        world.run(SimulatedCluster.CANCEL_MS + 5000, busy = false)
-        assertEquals(1, world.invariants.runningTaskCountOf(other), "the machine is still in use")
-        assertTrue(exitedCount(worker) <= REMEMBERED_ATTEMPTS, "the worker lists ${exitedCount(worker)} exited attempts")
+        assertRepeatsStartNothing(id, other, worker)
+    }
+
+    /** Guards against ran_cancelled after a worker's restart: its new incarnation knows none of the attempts that it ran before. */
+    @Test
+    fun `a repeated start for an earlier incarnation of the worker runs nothing`() = forEachSeed {
+        val id = acceptSmallTasks(1)
+        val worker = awaitOnOneMachine(id)
+        assertEquals(200, world.cancel(id))
+        world.run(5000, busy = false)
+        worker.reboot()
         val startsBefore = world.invariants.startCountOf(id)
-        leaderHost().crash(4000)
         repeatExecutedRequests()
-        world.run(10_000, busy = false)
         assertEquals(startsBefore, world.invariants.startCountOf(id), "starts of the cancelled job")
     }
 
