Counter of forgotten attempts: no property without callers

Done: ForgottenAttempts has no property that nobody reads; a comment says more simply why the token of an answer is read last. No change of behaviour.

--- a/src/main/kotlin/mountmast/coordination/workers/ForgottenAttempts.kt
+++ b/src/main/kotlin/mountmast/coordination/workers/ForgottenAttempts.kt
@@ -7,9 +7,6 @@
 class ForgottenAttempts(metrics: Metrics = Metrics()) {
     private val uncompletedCounter = metrics.counter(MetricNames.UNCOMPLETED_ATTEMPTS_FORGOTTEN)
 
-    /** How many `forget` commands for uncompleted attempts were sent since the process started. */
-    val uncompletedCount: Long get() = uncompletedCounter.value
-
     /** Counts [count] more `forget` commands for uncompleted attempts. */
     fun recordUncompleted(count: Int) = uncompletedCounter.add(count.toLong())
 }
--- a/src/main/kotlin/mountmast/coordination/workers/OutstandingCommands.kt
+++ b/src/main/kotlin/mountmast/coordination/workers/OutstandingCommands.kt
@@ -59,7 +59,7 @@
         addAssignmentCommands(commands, machine) { it.startDelivery.recordAnswer(sequence) }
         addUnassignedTaskCommands(commands, machine)
         fenceOffStoppedTasks(machine)
-        // Read last: the token must be above those from which tasks were fenced off for the commands.
+        // Read last, since the token may be raised for the commands.
         return HeartbeatResponse(tokenFor(machine), commands)
     }
 
