--- a/src/test/kotlin/mountmast/coordination/workers/ForgottenAttemptsTest.kt
+++ b/src/test/kotlin/mountmast/coordination/workers/ForgottenAttemptsTest.kt
@@ -79,8 +79,8 @@
     private fun exitedCount(worker: SimulatedWorker) = worker.heartbeat().tasks.count { it.state == TaskState.EXITED }
 
     /**
-     * Waits until the tasks of the cancelled job [id] must be gone from [worker], which goes on with [other], crashes the leader, and checks
-     * that repeated requests start none of them.
+     * Waits until the tasks of the cancelled job [id] must be gone from [worker], which goes on with [other], crashes the leader, and
+     * checks that repeated requests start none of them.
      */
     private fun Scenario.assertRepeatsStartNothing(id: JobId, other: JobId, worker: SimulatedWorker) {
         world.run(SimulatedCluster.CANCEL_MS + 5000, busy = false)
