Log each change of /ready with its reason and who was heard from; gauges ready, peers_heard, peers_serving

Change: ReadinessMonitor names its decision (Readiness) and logs each change at info, with the age and content of each peer's last heartbeat.

--- a/src/main/kotlin/mountmast/coordination/controller/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/controller/Controller.kt
@@ -24,7 +24,6 @@
 import mountmast.storage.PrerequisiteLists
 import mountmast.transport.HeartbeatOutcome
 import mountmast.transport.HeartbeatService
-import mountmast.transport.MetricNames
 import mountmast.transport.Metrics
 import mountmast.transport.PeerService
 import mountmast.transport.UserService
@@ -53,7 +52,6 @@
     private val timing = LeaseTiming.of(settings.leaseS, settings.cancelS, settings.clockOffMs, settings.heartbeatIntervalS)
     private val taskLosses = TaskLosses(metrics)
     private val invariantChecker = Invariants(metrics)
-    private val wakeLag = metrics.timing(MetricNames.WAKE_LAG)
     private val election = LeaderElection(store, settings.node, runId, timing, clock, metrics)
     private val cancellations = CancellationBroadcast(settings.members.map { it.node }, clock, timing.cancellationRetentionMs)
     private val leaseRenewalDelegate = LeaseRenewalDelegate(election, cancellations)
@@ -63,7 +61,7 @@
     private val leaderComponents = CurrentLeaderComponents()
     private val localState = LocalPeerState(settings.node, election, cancellations, formats, leaderComponents, ::canServe)
     private val membership = PeerMembership(settings.members, peerClient, cancellations, clock, localState)
-    private val readiness = ReadinessMonitor(election, membership, settings.members.size, wakeLag, clock, ::canServe)
+    private val readiness = ReadinessMonitor(election, membership, settings.members.size, metrics, clock, ::canServe)
     private val announcer = CancellationAnnouncer(cancellations, leaderComponents, election, membership)
     private val prerequisiteLists = PrerequisiteLists(store, settings.stateLimits)
     private val jobService = JobService(
--- /dev/null
+++ b/src/main/kotlin/mountmast/coordination/controller/Readiness.kt
@@ -0,0 +1,15 @@
+package mountmast.coordination.controller
+
+/**
+ * Whether the load balancer should send users to a node, and why.
+ *
+ * @property isReady whether `/ready` answers 200
+ * @property reason the reason as logged
+ */
+internal enum class Readiness(val isReady: Boolean, val reason: String) {
+    SERVING(true, "this node serves users"),
+    FALLING_BEHIND(false, "this node leads and falls behind, while all other nodes serve users"),
+    NO_PEER_SERVES(true, "this node cannot serve users, and no other node is known to serve them"),
+    PEER_SERVES(false, "this node cannot serve users, and another node does"),
+    PEERS_UNKNOWN(false, "this node cannot serve users, and has not yet exchanged heartbeats with the other nodes"),
+}
--- a/src/main/kotlin/mountmast/coordination/controller/ReadinessMonitor.kt
+++ b/src/main/kotlin/mountmast/coordination/controller/ReadinessMonitor.kt
@@ -3,18 +3,24 @@
 import mountmast.coordination.election.LeaderElection
 import mountmast.coordination.membership.PeerMembership
 import mountmast.protocol.Clock
-import mountmast.transport.Timing
+import mountmast.transport.MetricNames
+import mountmast.transport.Metrics
+import org.slf4j.LoggerFactory
+import java.util.concurrent.atomic.AtomicReference
+
+private val log = LoggerFactory.getLogger("mountmast.readiness")
 
 /**
- * Decides whether the load balancer should send users to this node. [updateAdmission] is called by one thread, [recordWakeLag] by
- * one other thread, [isReady] by any thread.
+ * Decides whether the load balancer should send users to this node. Logs each change of the decision with its reason and with what
+ * this node has heard of the others. [updateAdmission] is called by one thread, [recordWakeLag] by one other thread, [isReady] by any
+ * thread.
  */
 internal class ReadinessMonitor(
     private val election: LeaderElection,
     private val membership: PeerMembership,
     /** Number of the other nodes of the deployment. */
     private val peerCount: Int,
-    private val wakeLag: Timing,
+    metrics: Metrics,
     private val clock: Clock,
     /** Returns whether this node can serve users without forwarding their requests. */
     private val canServe: () -> Boolean,
@@ -26,6 +32,15 @@
     @Volatile
     private var declinesUsers = false
 
+    private val wakeLag = metrics.timing(MetricNames.WAKE_LAG)
+    private val lastReadiness = AtomicReference<Readiness>()
+
+    init {
+        metrics.gauge(MetricNames.READY) { if (assess().isReady) 1 else 0 }
+        metrics.gauge(MetricNames.PEERS_HEARD) { membership.countHeard() }
+        metrics.gauge(MetricNames.PEERS_SERVING) { membership.countServing() }
+    }
+
     /** Records that a sleep ended [ms] late, a sign that the process gets too little processor time. */
     fun recordWakeLag(ms: Long) {
         wakeLag.record(ms)
@@ -52,7 +67,20 @@
      * balancer would avoid them for longer after it. A node that cannot serve is also unready before its first exchange of heartbeats,
      * since it does not know yet whether other nodes serve.
      */
-    fun isReady(): Boolean = if (canServe()) !declinesUsers else membership.hasExchangedHeartbeats && membership.countServing() == 0
+    fun isReady(): Boolean {
+        val readiness = assess()
+        if (lastReadiness.getAndSet(readiness) != readiness) {
+            log.info("ready={}: {}; heard {}", readiness.isReady, readiness.reason, membership.describeHeartbeats())
+        }
+        return readiness.isReady
+    }
+
+    private fun assess(): Readiness = when {
+        canServe() -> if (declinesUsers) Readiness.FALLING_BEHIND else Readiness.SERVING
+        !membership.hasExchangedHeartbeats -> Readiness.PEERS_UNKNOWN
+        membership.countServing() > 0 -> Readiness.PEER_SERVES
+        else -> Readiness.NO_PEER_SERVES
+    }
 
     private companion object {
         const val LAG_SMOOTHING_FACTOR = 0.03
--- a/src/main/kotlin/mountmast/coordination/membership/PeerMembership.kt
+++ b/src/main/kotlin/mountmast/coordination/membership/PeerMembership.kt
@@ -42,6 +42,17 @@
     /** Returns how many other nodes serve users, according to their heartbeats received in the last six seconds. */
     fun countServing(): Int = freshHeartbeats().count { it.serves }
 
+    /** Returns of how many other nodes a heartbeat was received in the last six seconds. */
+    fun countHeard(): Int = freshHeartbeats().size
+
+    /** Describes for the log, for each other node, the last heartbeat received from it. */
+    fun describeHeartbeats(): String = members.joinToString { member ->
+        val latest = latestHeartbeats[member.node]
+        if (latest == null) "nothing of ${member.node}" else "${member.node} ${describe(latest)}"
+    }
+
+    private fun describe(received: ReceivedHeartbeat) = "${clock.now() - received.receivedAt} ms ago, serves=${received.heartbeat.serves}"
+
     private fun freshHeartbeats(): List<PeerHeartbeat> =
         latestHeartbeats.values.filter { clock.now() - it.receivedAt < MAX_HEARTBEAT_AGE_MS }.map { it.heartbeat }
 
