A node that cannot serve is ready only if every other node has responded that it cannot either

Cause: isReady took "no peer heartbeat of the last 6 s says that it serves" for "no other node serves" and stayed ready, as in a common failure. Ruled out by the log: late answers of the state service (canServe stayed false throughout), a load balancer that forgot. Change: readiness rests on responses to this node's own heartbeats, sent in the last 6 s, for each other node one of serves, cannot serve, unknown. A node that cannot serve is ready only if all others say that they cannot. One that does not respond may serve, so the node is unready: docs/design.md, "Who serves users", says why this error is chosen. The same responses decide whether a late leader declines users and whether a leader may resign, and where a request is forwarded; heartbeats that peers send, which the network may hold up for minutes, no longer do. PeerMembershipTest: hasExchangedHeartbeats is gone, its assertions are now on the state of each peer; "forwarded only to a peer that serves" lets the peer respond instead of sending, as a sent heartbeat tells nothing any more.

--- a/src/main/kotlin/mountmast/coordination/controller/ElectionLoop.kt
+++ b/src/main/kotlin/mountmast/coordination/controller/ElectionLoop.kt
@@ -2,6 +2,7 @@
 
 import mountmast.coordination.election.LeaderElection
 import mountmast.coordination.membership.PeerMembership
+import mountmast.coordination.membership.PeerServiceState
 import mountmast.storage.StateStore
 
 /** Takes part in the election, and starts or ends this node's term by the election's result. Confined to one thread. */
@@ -26,7 +27,12 @@
         // A leader that is partitioned from the workers alone, in either direction, would renew its own lease for ever while the
         // workers' leases expire.
         val reason = leaderTerm?.let(resignationCheck::reasonToResign)
-        if (leaderTerm != null && reason != null && membership.countServing() > 0) election.resign(leaderTerm.leaderLease, reason)
+        if (leaderTerm != null &&
+            reason != null &&
+            membership.countPeers(PeerServiceState.SERVING) > 0
+        ) {
+            election.resign(leaderTerm.leaderLease, reason)
+        }
         replaceComponents()
         readinessMonitor.updateAdmission()
     }
--- a/src/main/kotlin/mountmast/coordination/controller/Readiness.kt
+++ b/src/main/kotlin/mountmast/coordination/controller/Readiness.kt
@@ -9,7 +9,8 @@
 internal enum class Readiness(val isReady: Boolean, val reason: String) {
     SERVING(true, "this node serves users"),
     FALLING_BEHIND(false, "this node leads and falls behind, while all other nodes serve users"),
-    NO_PEER_SERVES(true, "this node cannot serve users, and no other node is known to serve them"),
+    NO_NODE_SERVES(true, "this node cannot serve users, and every other node says the same of itself"),
+    UNDECIDED(true, "this node has just become unable to serve users"),
     PEER_SERVES(false, "this node cannot serve users, and another node does"),
-    PEERS_UNKNOWN(false, "this node cannot serve users, and has not yet exchanged heartbeats with the other nodes"),
+    PEER_UNKNOWN(false, "this node cannot serve users, and another node that does not respond may"),
 }
--- a/src/main/kotlin/mountmast/coordination/controller/ReadinessMonitor.kt
+++ b/src/main/kotlin/mountmast/coordination/controller/ReadinessMonitor.kt
@@ -2,7 +2,9 @@
 
 import mountmast.coordination.election.LeaderElection
 import mountmast.coordination.membership.PeerMembership
+import mountmast.coordination.membership.PeerServiceState
 import mountmast.protocol.Clock
+import mountmast.protocol.MonotonicTime
 import mountmast.transport.MetricNames
 import mountmast.transport.Metrics
 import org.slf4j.LoggerFactory
@@ -35,10 +37,14 @@
     private val wakeLag = metrics.timing(MetricNames.WAKE_LAG)
     private val lastReadiness = AtomicReference<Readiness>()
 
+    /** When this node last served users, or knew that no node does; null if neither was ever so. */
+    @Volatile
+    private var lastUndisputedAt: MonotonicTime? = null
+
     init {
         metrics.gauge(MetricNames.READY) { if (assess().isReady) 1 else 0 }
-        metrics.gauge(MetricNames.PEERS_HEARD) { membership.countHeard() }
-        metrics.gauge(MetricNames.PEERS_SERVING) { membership.countServing() }
+        metrics.gauge(MetricNames.PEERS_HEARD) { peerCount - membership.countPeers(PeerServiceState.UNKNOWN) }
+        metrics.gauge(MetricNames.PEERS_SERVING) { membership.countPeers(PeerServiceState.SERVING) }
     }
 
     /** Records that a sleep ended [ms] late, a sign that the process gets too little processor time. */
@@ -54,32 +60,41 @@
      */
     fun updateAdmission() {
         val leaderLease = election.leaderLease
-        val servingPeers = membership.countServing()
+        val servingPeers = membership.countPeers(PeerServiceState.SERVING)
         declinesUsers = when {
             leaderLease == null || servingPeers < maxOf(MIN_SERVING_PEERS, peerCount) -> false
             else -> declinesUsers || (meanWakeLagMs > MAX_MEAN_WAKE_LAG_MS && clock.now() - leaderLease.electedAt > MIN_TERM_AGE_MS)
         }
+        updateReadiness()
     }
 
     /**
-     * Returns whether the load balancer should send users to this node. A node that can serve is ready unless it declines users. A node
-     * that cannot serve is ready only if no other node serves either: if all nodes were unready during a common failure, the load
-     * balancer would avoid them for longer after it. A node that cannot serve is also unready before its first exchange of heartbeats,
-     * since it does not know yet whether other nodes serve.
+     * Returns whether the load balancer should send users to this node.
+     *
+     * A node that can serve is ready unless it declines users. A node that cannot is ready only if every other node has responded that it
+     * cannot either: if all nodes were unready during a common failure, the load balancer would avoid them for longer after it. If
+     * another node does not respond, it may still serve users, so this node is unready.
+     *
+     * A node that has just become unable to serve stays ready for [DECISION_DELAY_MS]: when a common failure begins or ends, the nodes
+     * notice it one after another.
      */
-    fun isReady(): Boolean {
+    fun isReady(): Boolean = updateReadiness().isReady
+
+    private fun updateReadiness(): Readiness {
         val readiness = assess()
+        if (readiness == Readiness.SERVING || readiness == Readiness.NO_NODE_SERVES) lastUndisputedAt = clock.now()
         if (lastReadiness.getAndSet(readiness) != readiness) {
-            log.info("ready={}: {}; heard {}", readiness.isReady, readiness.reason, membership.describeHeartbeats())
+            log.info("ready={}: {}; peers: {}", readiness.isReady, readiness.reason, membership.describePeers())
         }
-        return readiness.isReady
+        return readiness
     }
 
     private fun assess(): Readiness = when {
         canServe() -> if (declinesUsers) Readiness.FALLING_BEHIND else Readiness.SERVING
-        !membership.hasExchangedHeartbeats -> Readiness.PEERS_UNKNOWN
-        membership.countServing() > 0 -> Readiness.PEER_SERVES
-        else -> Readiness.NO_PEER_SERVES
+        membership.countPeers(PeerServiceState.NOT_SERVING) == peerCount -> Readiness.NO_NODE_SERVES
+        lastUndisputedAt?.let { clock.now() - it < DECISION_DELAY_MS } == true -> Readiness.UNDECIDED
+        membership.countPeers(PeerServiceState.SERVING) > 0 -> Readiness.PEER_SERVES
+        else -> Readiness.PEER_UNKNOWN
     }
 
     private companion object {
@@ -87,5 +102,8 @@
         const val MAX_MEAN_WAKE_LAG_MS = 25.0
         const val MIN_TERM_AGE_MS = 10_000L
         const val MIN_SERVING_PEERS = 2
+
+        /** An interval of peer heartbeats, and one of calls to the state service by the election loop. */
+        const val DECISION_DELAY_MS = 3000L
     }
 }
--- a/src/main/kotlin/mountmast/coordination/membership/PeerMembership.kt
+++ b/src/main/kotlin/mountmast/coordination/membership/PeerMembership.kt
@@ -30,48 +30,55 @@
         fun onPeerHeartbeat(peerHeartbeat: PeerHeartbeat)
     }
 
+    /** A [heartbeat] that was received at [receivedAt] or, as a response, was asked for at that time. */
     private class ReceivedHeartbeat(val heartbeat: PeerHeartbeat, val receivedAt: MonotonicTime)
 
+    /** The latest heartbeat received from each node, whether as a request or as a response. */
     private val latestHeartbeats = ConcurrentHashMap<NodeId, ReceivedHeartbeat>()
 
-    /** Whether this node has tried to send a heartbeat to every other node; before that, it is unknown whether any of them serves users. */
-    @Volatile
-    var hasExchangedHeartbeats = false
-        private set
-
-    /** Returns how many other nodes serve users, according to their heartbeats received in the last six seconds. */
-    fun countServing(): Int = freshHeartbeats().count { it.serves }
+    /**
+     * For each node, its latest response to a heartbeat of this node, with the time at which that heartbeat was sent. Only responses tell
+     * whether a node serves users: a response is at most as old as the exchange took, whereas the network may hold up a heartbeat that
+     * another node sent for minutes.
+     */
+    private val latestResponses = ConcurrentHashMap<NodeId, ReceivedHeartbeat>()
+
+    /** Returns whether [node] serves users, by its response to a heartbeat that this node sent in the last six seconds. */
+    fun serviceOf(node: NodeId): PeerServiceState {
+        val response = latestResponses[node]
+        return when {
+            response == null || !isFresh(response) -> PeerServiceState.UNKNOWN
+            response.heartbeat.serves -> PeerServiceState.SERVING
+            else -> PeerServiceState.NOT_SERVING
+        }
+    }
 
-    /** Returns of how many other nodes a heartbeat was received in the last six seconds. */
-    fun countHeard(): Int = freshHeartbeats().size
+    /** Returns how many other nodes are known to be in [state]. */
+    fun countPeers(state: PeerServiceState): Int = members.count { serviceOf(it.node) == state }
 
-    /** Describes for the log, for each other node, the last heartbeat received from it. */
-    fun describeHeartbeats(): String = members.joinToString { member ->
-        val latest = latestHeartbeats[member.node]
-        if (latest == null) "nothing of ${member.node}" else "${member.node} ${describe(latest)}"
+    /** Describes for the log what is known of each other node. */
+    fun describePeers(): String = members.joinToString { member ->
+        val heard = latestHeartbeats[member.node]?.let { "heard ${clock.now() - it.receivedAt} ms ago" } ?: "not heard"
+        "${member.node} ${serviceOf(member.node).text} ($heard)"
     }
 
-    private fun describe(received: ReceivedHeartbeat) = "${clock.now() - received.receivedAt} ms ago, serves=${received.heartbeat.serves}"
-
-    private fun freshHeartbeats(): List<PeerHeartbeat> =
-        latestHeartbeats.values.filter { clock.now() - it.receivedAt < MAX_HEARTBEAT_AGE_MS }.map { it.heartbeat }
+    private fun isFresh(heartbeat: ReceivedHeartbeat) = clock.now() - heartbeat.receivedAt < MAX_HEARTBEAT_AGE_MS
 
     /** Exchanges heartbeats with all other nodes, one after another. */
-    fun exchangeHeartbeats() {
-        members.forEach(::exchangeHeartbeatWith)
-        hasExchangedHeartbeats = true
-    }
+    fun exchangeHeartbeats() = members.forEach(::exchangeHeartbeatWith)
 
     /** Exchanges heartbeats with [node] at once, provided that a heartbeat of that node was received in the last six seconds. */
     fun exchangeHeartbeatIfAlive(node: NodeId) {
-        if (freshHeartbeats().any { it.node == node.text }) members.firstOrNull { it.node == node }?.let(::exchangeHeartbeatWith)
+        if (latestHeartbeats[node]?.let(::isFresh) == true) members.firstOrNull { it.node == node }?.let(::exchangeHeartbeatWith)
     }
 
     private fun exchangeHeartbeatWith(member: Member) {
         val cancelled = cancellations.unacknowledgedBy(member.node)
-        val response =
-            peerClient.exchangeHeartbeats(member, localNode.ownHeartbeat().copy(cancelledJobs = cancelled.map { it.text })) ?: return
+        val heartbeat = localNode.ownHeartbeat().copy(cancelledJobs = cancelled.map { it.text })
+        val sentAt = clock.now()
+        val response = peerClient.exchangeHeartbeats(member, heartbeat) ?: return
         cancellations.acknowledge(member.node, cancelled)
+        latestResponses[member.node] = ReceivedHeartbeat(response, sentAt)
         recordHeartbeat(response)
     }
 
@@ -88,8 +95,7 @@
 
     /** Forwards [request] to a node that serves users. Returns the node's answer, or null if no node serves or it does not answer. */
     fun forward(request: ForwardedRequest): UserAnswer? {
-        val servingHeartbeat = freshHeartbeats().firstOrNull { it.serves } ?: return null
-        val member = members.firstOrNull { it.node.text == servingHeartbeat.node } ?: return null
+        val member = members.firstOrNull { serviceOf(it.node) == PeerServiceState.SERVING } ?: return null
         val response = peerClient.forward(member, request) ?: return null
         return UserAnswer(response.status, response.body, response.retryAfterS)
     }
--- a/src/test/kotlin/mountmast/coordination/membership/PeerMembershipTest.kt
+++ b/src/test/kotlin/mountmast/coordination/membership/PeerMembershipTest.kt
@@ -10,9 +10,7 @@
 import mountmast.standin.VirtualTime
 import mountmast.transport.PeerClient
 import org.junit.jupiter.api.Assertions.assertEquals
-import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertNull
-import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.net.InetSocketAddress
 
@@ -29,7 +27,7 @@
         override fun onPeerHeartbeat(peerHeartbeat: PeerHeartbeat) = Unit
     }
 
-    private class RecordingPeers(private val response: PeerHeartbeat?) : PeerClient {
+    private class RecordingPeers(var response: PeerHeartbeat?) : PeerClient {
         val heartbeats = ArrayList<PeerHeartbeat>()
 
         override fun exchangeHeartbeats(to: Member, heartbeat: PeerHeartbeat): PeerHeartbeat? {
@@ -48,13 +46,33 @@
     @Test
     fun `a peer counts as serving until its heartbeat is six seconds old`() {
         val membership = membership(RecordingPeers(heartbeat(serves = true)))
-        assertFalse(membership.hasExchangedHeartbeats)
+        assertEquals(PeerServiceState.UNKNOWN, membership.serviceOf(peer))
         membership.exchangeHeartbeats()
-        assertTrue(membership.hasExchangedHeartbeats)
+        assertEquals(1, membership.countPeers(PeerServiceState.SERVING))
         time.advance(5999)
-        assertEquals(1, membership.countServing())
+        assertEquals(1, membership.countPeers(PeerServiceState.SERVING))
         time.advance(1)
-        assertEquals(0, membership.countServing())
+        assertEquals(0, membership.countPeers(PeerServiceState.SERVING))
+        assertEquals(PeerServiceState.UNKNOWN, membership.serviceOf(peer))
+    }
+
+    @Test
+    fun `a peer that says it cannot serve is not taken for one that does not respond`() {
+        val membership = membership(RecordingPeers(heartbeat(serves = false)))
+        membership.exchangeHeartbeats()
+        assertEquals(PeerServiceState.NOT_SERVING, membership.serviceOf(peer))
+        time.advance(6000)
+        assertEquals(PeerServiceState.UNKNOWN, membership.serviceOf(peer))
+    }
+
+    @Test
+    fun `a heartbeat that a peer sent tells nothing of whether it serves, as it may be minutes old`() {
+        val membership = membership(RecordingPeers(response = null))
+        for (serves in listOf(false, true)) {
+            membership.onHeartbeat(heartbeat(serves))
+            assertEquals(PeerServiceState.UNKNOWN, membership.serviceOf(peer))
+            assertNull(membership.forward(ForwardedRequest("GET", "/", "")))
+        }
     }
 
     @Test
@@ -82,11 +100,13 @@
 
     @Test
     fun `a request is forwarded only to a peer that serves`() {
-        val membership = membership(RecordingPeers(response = null))
+        val peers = RecordingPeers(heartbeat(serves = false))
+        val membership = membership(peers)
         val request = ForwardedRequest("GET", "/", "")
-        membership.onHeartbeat(heartbeat(serves = false))
+        membership.exchangeHeartbeats()
         assertNull(membership.forward(request))
-        membership.onHeartbeat(heartbeat(serves = true))
+        peers.response = heartbeat(serves = true)
+        membership.exchangeHeartbeats()
         assertEquals(200, membership.forward(request)?.status)
     }
 }
