A node that is not ready closes the connection of a user whom it tells to try again

Cause: PROTOCOL's load balancer does not move open connections, and the node kept them open. PROTOCOL: "A connection stays open until one side sends Connection: close", so the node may end them itself. Change: answers to submissions, polls and cancellations that bear Retry-After (429, 503) bear Connection: close while /ready says 503. While it says 200, as in a common failure, connections stay.

--- a/src/main/kotlin/mountmast/transport/Routes.kt
+++ b/src/main/kotlin/mountmast/transport/Routes.kt
@@ -51,18 +51,28 @@
         path == METRICS_PATH -> request.requireMethod(Method.GET) { text(metrics.render()) }
         path == JOBS_PATH -> request.requireMethod(Method.POST) {
             val body = request.readBoundedBody() ?: return@requireMethod json(400, errorBody("body: over 64 KiB"))
-            admission.submissionLimit.admit { users.submit(body, isForwarded = false) }.toResponse()
+            admission.submissionLimit.admit { users.submit(body, isForwarded = false) }.toUserResponse(users)
         }
         path.startsWith("$JOBS_PATH/") && path.endsWith(CANCEL_SUFFIX) -> request.requireMethod(Method.POST) {
-            users.cancel(path.removePrefix("$JOBS_PATH/").removeSuffix(CANCEL_SUFFIX), isForwarded = false).toResponse()
+            users.cancel(path.removePrefix("$JOBS_PATH/").removeSuffix(CANCEL_SUFFIX), isForwarded = false).toUserResponse(users)
         }
         path.startsWith("$JOBS_PATH/") -> request.requireMethod(Method.GET) {
-            admission.pollLimit.admit { users.status(path.removePrefix("$JOBS_PATH/"), isForwarded = false) }.toResponse()
+            admission.pollLimit.admit { users.status(path.removePrefix("$JOBS_PATH/"), isForwarded = false) }.toUserResponse(users)
         }
         else -> json(404, errorBody("no such path"))
     }
 }
 
+/**
+ * Converts this answer to an HTTP response. If the user is to try again while this node is not ready, the response ends the connection:
+ * the load balancer does not move open connections until a node has been unhealthy for some time, but gives the user's next one to a
+ * healthy node.
+ */
+private fun UserAnswer.toUserResponse(users: UserService): Response {
+    val response = toResponse()
+    return if (retryAfterS > 0 && !users.isReady()) response.header("Connection", "close") else response
+}
+
 private fun handleHeartbeat(request: Request, heartbeats: HeartbeatService): Response {
     val body = request.readBoundedBody() ?: return json(400, errorBody("body: over 64 KiB"))
     val heartbeat = try {
