A request forwarded to a peer that serves no longer goes on to one that does

What callers saw: a user of a node that the state service does not answer got 503 or no answer, although another node served: the request was forwarded to the first peer that had said within 6 s that it serves, its refusal was handed on, and a silent peer was asked again by each request. Cause: a peer's last heartbeat was taken for its present state, whatever the attempt itself had shown. Change: peers that serve are tried in turn until one answers with another status than 503, for up to 1 s, as a poll's user waits 2 s; one that does not answer counts as not responding until its next heartbeat. Repeats are safe: requests are idempotent by the job's id.

--- a/src/main/kotlin/mountmast/coordination/membership/PeerMembership.kt
+++ b/src/main/kotlin/mountmast/coordination/membership/PeerMembership.kt
@@ -8,6 +8,7 @@
 import mountmast.protocol.PeerHeartbeat
 import mountmast.transport.PeerClient
 import mountmast.transport.UserAnswer
+import java.net.HttpURLConnection
 import java.util.concurrent.ConcurrentHashMap
 
 /**
@@ -93,15 +94,38 @@
         localNode.onPeerHeartbeat(heartbeat)
     }
 
-    /** Forwards [request] to a node that serves users. Returns the node's answer, or null if no node serves or it does not answer. */
+    /**
+     * Forwards [request] to the nodes that serve users, one after another, until one of them answers with another status than 503. A node
+     * that does not answer counts as not responding until its next heartbeat. No further node is tried after [MAX_FORWARDING_MS], as the
+     * user does not wait for it.
+     *
+     * Returns the answer, a 503 if no node had a better one, or null if no node serves or none answers.
+     */
     fun forward(request: ForwardedRequest): UserAnswer? {
-        val member = members.firstOrNull { serviceOf(it.node) == PeerServiceState.SERVING } ?: return null
-        val response = peerClient.forward(member, request) ?: return null
+        val startedAt = clock.now()
+        var refusal: UserAnswer? = null
+        for (member in members.filter { serviceOf(it.node) == PeerServiceState.SERVING }) {
+            if (clock.now() - startedAt >= MAX_FORWARDING_MS) break
+            val answer = forwardTo(member, request)
+            if (answer != null && answer.status != HttpURLConnection.HTTP_UNAVAILABLE) return answer
+            refusal = refusal ?: answer
+        }
+        return refusal
+    }
+
+    private fun forwardTo(member: Member, request: ForwardedRequest): UserAnswer? {
+        val lastResponse = latestResponses[member.node]
+        val response = peerClient.forward(member, request)
+        if (response == null) {
+            if (lastResponse != null) latestResponses.remove(member.node, lastResponse)
+            return null
+        }
         return UserAnswer(response.status, response.body, response.retryAfterS)
     }
 
     private companion object {
         /** A heartbeat up to three peer heartbeat intervals old counts as fresh. */
         const val MAX_HEARTBEAT_AGE_MS = 6000L
+        const val MAX_FORWARDING_MS = 1000L
     }
 }
