--- a/src/main/kotlin/mountmast/coordination/jobs/JobService.kt
+++ b/src/main/kotlin/mountmast/coordination/jobs/JobService.kt
@@ -41,7 +41,7 @@
     private val submissionValidator = SubmissionValidator(teams, machineTypeCache, prerequisiteValidator, node)
     private val submission = JobSubmission(store, submissionValidator, prerequisiteLists, recordCache, statusReader, clock)
     private val cancellation = JobCancellation(store, statusReader, node)
-    private val forwarder = RequestForwarder(node)
+    private val forwarder = RequestForwarder(node, store)
 
     /** Whether machine types have been read; without them, no job can be accepted. */
     val knowsMachineTypes: Boolean get() = machineTypeCache.types.isNotEmpty()
