A node that is not ready rejects at once what neither it nor a peer can serve

Cause: every request tried the state service, also when the node knew that it does not answer and had sent its users away. A ready one, as in a common failure, still tries, so that users are answered from the first moment after an outage. Test: RequestForwarderTest, "a node that is not ready rejects at once ...", failed before.

--- a/src/main/kotlin/mountmast/coordination/jobs/RequestForwarder.kt
+++ b/src/main/kotlin/mountmast/coordination/jobs/RequestForwarder.kt
@@ -16,12 +16,15 @@
      * already forwarded to this node. If no node can serve it, rejects it as one to be sent again later.
      *
      * While the state service is known not to be reachable, a call to it would last as long as the user waits. The request is then
-     * forwarded first, and one that was forwarded to this node is rejected at once, so that its sender can try another node.
+     * forwarded first, and one that was forwarded to this node is rejected at once, so that its sender can try another node. If no node
+     * takes the request, it is rejected at once too, unless this node is ready: then no node is known to serve users, and the state
+     * service is tried in case it just answers again.
      */
     fun serveOrForward(request: ForwardedRequest, isForwarded: Boolean, serve: () -> RequestOutcome): UserAnswer {
         if (store.isReachable) return serveLocally(request, serve) ?: forwardOrReject(request, isForwarded)
         if (isForwarded) return RequestRejection.StoreUnavailable.toUserAnswer()
-        return localNode.forward(request) ?: serveLocally(request, serve) ?: RequestRejection.StoreUnavailable.toUserAnswer()
+        val answer = localNode.forward(request) ?: if (localNode.isReady()) serveLocally(request, serve) else null
+        return answer ?: RequestRejection.StoreUnavailable.toUserAnswer()
     }
 
     private fun forwardOrReject(request: ForwardedRequest, isForwarded: Boolean): UserAnswer {
--- a/src/test/kotlin/mountmast/coordination/jobs/RequestForwarderTest.kt
+++ b/src/test/kotlin/mountmast/coordination/jobs/RequestForwarderTest.kt
@@ -16,6 +16,7 @@
 class RequestForwarderTest {
     private val calls = ArrayList<String>()
     private var forwardedStatus: Int? = 200
+    private var isNodeReady = true
     private val time = VirtualTime()
     private val connection = SimulatedStateStore(time).Connection(Random(1), ProcessFaults(time))
     private val request = ForwardedRequest("GET", "/v1/jobs/j-000001", "")
@@ -23,7 +24,7 @@
     private inner class Host : HostNode {
         override val acceptsPrerequisites = true
 
-        override fun isReady() = true
+        override fun isReady() = isNodeReady
 
         override fun forward(request: ForwardedRequest): UserAnswer? {
             calls += "forward"
@@ -58,7 +59,16 @@
     }
 
     @Test
-    fun `if no peer serves, a request is tried at the state service, which may just answer again`() {
+    fun `a node that is not ready rejects at once what no peer takes`() {
+        // Polls at a cut-off node waited for the state service for longer than their users did, and got no answer.
+        forwardedStatus = null
+        isNodeReady = false
+        assertEquals(503, send(isReachable = false))
+        assertEquals(listOf("forward"), calls)
+    }
+
+    @Test
+    fun `if no peer serves, a ready node tries a request at the state service, which may just answer again`() {
         forwardedStatus = null
         assertEquals(503, send(isReachable = false))
         assertEquals(listOf("forward", "serve"), calls)
