--- a/src/main/kotlin/mountmast/storage/HttpStateStore.kt
+++ b/src/main/kotlin/mountmast/storage/HttpStateStore.kt
@@ -120,7 +120,8 @@
     }
 
     override fun watch(prefix: String, from: Revision, waitMs: Long): WatchResult {
-        val reply = call("GET", "/follow?starts=$prefix&from=$from&waitMs=$waitMs", null, ANSWER_TIMEOUT_MS + waitMs.toInt())
+        awaitRequestQuota()
+        val reply = send("GET", "/follow?starts=$prefix&from=$from&waitMs=$waitMs", null, ANSWER_TIMEOUT_MS + waitMs.toInt())
         return when (reply.status) {
             200 -> decode<WatchBody>(reply).let { body ->
                 WatchResult.Changes(body.news.map { it.toEvent() }, body.revision)
@@ -131,29 +132,44 @@
     }
 
     /**
-     * Waits up to [waitMs] milliseconds for the answer. Throws [StoreException] if this node's share of the request rate is used up, or
-     * if no answer arrives.
+     * Sends a request that the state service answers at once. [isReachable] follows from the outcome of these requests alone: a watch that
+     * is answered, perhaps late, does not show that the service answers other requests of this node. Throws [StoreException] if this
+     * node's share of the request rate is used up, or if no answer arrives.
      */
-    private fun call(method: String, path: String, requestBody: String?, waitMs: Int = ANSWER_TIMEOUT_MS): Reply {
+    private fun call(method: String, path: String, requestBody: String?): Reply {
         val startedNanos = System.nanoTime()
-        if (!requestLimiter.tryAcquire(MAX_RATE_WAIT_MS, TimeUnit.MILLISECONDS)) throw rateExceeded()
+        awaitRequestQuota()
+        val admittedNanos = System.nanoTime()
+        var isAnswered = false
         try {
-            val admittedNanos = System.nanoTime()
-            val reply = caller.call(address, method, path, requestBody?.encodeToByteArray(), waitMs)
-            if (waitMs == ANSWER_TIMEOUT_MS) recordDuration("$method $path", startedNanos, admittedNanos)
+            val reply = send(method, path, requestBody, ANSWER_TIMEOUT_MS)
+            recordDuration("$method $path", startedNanos, admittedNanos)
             // A status below 500 shows that the service is reachable; it answers 429 to requests above its rates.
-            wasLastCallAnswered = reply.status < 500
-            if (wasLastCallAnswered) lastAnswerNanos = System.nanoTime() else failureCounter.add()
+            isAnswered = reply.status < SERVER_ERROR
             return reply
-        } catch (e: NoAnswerException) {
-            wasLastCallAnswered = false
-            failureCounter.add()
-            throw if (e.mayHaveTakenEffect) {
-                StoreTimeoutException("$path: ${e.message}")
-            } else {
-                StoreUnavailableException("$path: ${e.message}")
+        } finally {
+            wasLastCallAnswered = isAnswered
+            if (isAnswered) lastAnswerNanos = System.nanoTime()
+        }
+    }
+
+    /** Waits until a request is within this node's share of the request rate. */
+    private fun awaitRequestQuota() {
+        if (!requestLimiter.tryAcquire(MAX_RATE_WAIT_MS, TimeUnit.MILLISECONDS)) throw rateExceeded()
+    }
+
+    /** Sends a request and waits up to [waitMs] milliseconds for the answer. Throws [StoreException] if none arrives. */
+    private fun send(method: String, path: String, requestBody: String?, waitMs: Int): Reply = try {
+        caller.call(address, method, path, requestBody?.encodeToByteArray(), waitMs).also {
+            if (it.status >=
+                SERVER_ERROR
+            ) {
+                failureCounter.add()
             }
         }
+    } catch (e: NoAnswerException) {
+        failureCounter.add()
+        throw if (e.mayHaveTakenEffect) StoreTimeoutException("$path: ${e.message}") else StoreUnavailableException("$path: ${e.message}")
     }
 
     /** Records how long a call took since [startedNanos]; until [admittedNanos] it waited for this node's share of the request rate. */
@@ -201,6 +217,9 @@
         const val MAX_ANSWER_CHARS = 200
         const val SLOW_CALL_MS = 100
         const val NANOS_PER_MS = 1_000_000L
+
+        /** The lowest HTTP status that tells of a failure of the server. */
+        const val SERVER_ERROR = 500
         const val MAX_REJECTED_KEYS = 1000
     }
 }
--- a/src/test/kotlin/mountmast/storage/HttpStateStoreTest.kt
+++ b/src/test/kotlin/mountmast/storage/HttpStateStoreTest.kt
@@ -2,10 +2,12 @@
 
 import com.sun.net.httpserver.HttpServer
 import kotlinx.serialization.json.JsonPrimitive
+import mountmast.protocol.Revision
 import mountmast.protocol.StateLimits
 import mountmast.protocol.StoreLeaseId
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -17,6 +19,11 @@
     private var answer = """{"ledger":7}"""
     private val requests = AtomicInteger()
     private val server = HttpServer.create(InetSocketAddress("127.0.0.1", 0), 0).apply {
+        createContext("/follow") { exchange ->
+            val body = """{"ledger":7,"news":[]}""".encodeToByteArray()
+            exchange.sendResponseHeaders(200, body.size.toLong())
+            exchange.responseBody.use { it.write(body) }
+        }
         createContext("/") { exchange ->
             requests.incrementAndGet()
             exchange.requestBody.readAllBytes()
@@ -65,4 +72,25 @@
         assertTrue(System.nanoTime() - began < 500_000_000, "refused late")
         assertEquals(sent, requests.get())
     }
+
+    @Test
+    fun `a watch that is answered does not make a state service reachable that refuses all other requests`() {
+        // A node whose watches were answered called itself able to serve, while each request of its users failed.
+        val store = store(1000.0)
+        fun answerOneRequest() = store.commit(Transaction(emptyList(), listOf(put("k", "x"))))
+        answerOneRequest()
+        assertTrue(store.isReachable)
+        status = 503
+        val began = System.nanoTime()
+        while (store.isReachable && System.nanoTime() - began < 10_000_000_000) {
+            assertThrows(StoreUnavailableException::class.java) { store.get("k") }
+            store.watch("c/", Revision(7u), 0)
+            Thread.sleep(50)
+        }
+        repeat(3) { store.watch("c/", Revision(7u), 0) }
+        assertFalse(store.isReachable)
+        status = 200
+        answerOneRequest()
+        assertTrue(store.isReachable, "reachable at the first answer")
+    }
 }
