A leader that reaches neither workers nor peers resigns, once

Cause: it resigned only if a peer heartbeat of the last 6 s said that a peer serves; hearing of none it concluded that nobody could lead. Where workers report every 2.5 s or less often, their silence shows only after those 6 s, so a cut from both at once was enough. Whether there was another to lead it learns from the store: if it is elected to the very next term nobody was, and it leads on, so leaders do not change in series for want of any other. Tests: RecoveryTest, "a leader that reaches the state service alone ..." failed before; "... leads on once it was elected again ..." guards the other side.

--- a/src/main/kotlin/mountmast/coordination/controller/Controller.kt
+++ b/src/main/kotlin/mountmast/coordination/controller/Controller.kt
@@ -90,7 +90,7 @@
     private val componentsFactory =
         LeaderComponentsFactory(settings, operatorSettings, runId, systems.cloud, environment, election, formats)
     private val electionLoop =
-        ElectionLoop(election, membership, leaderComponents, componentsFactory, ResignationCheck(election, timing, clock), readiness, store)
+        ElectionLoop(election, leaderComponents, componentsFactory, ResignationCheck(election, membership, timing, clock), readiness, store)
 
     /** The steps that do nothing unless this node leads. */
     val leaderWork = LeaderWork(leaderComponents, election, clock)
--- a/src/main/kotlin/mountmast/coordination/controller/ElectionLoop.kt
+++ b/src/main/kotlin/mountmast/coordination/controller/ElectionLoop.kt
@@ -1,14 +1,11 @@
 package mountmast.coordination.controller
 
 import mountmast.coordination.election.LeaderElection
-import mountmast.coordination.membership.PeerMembership
-import mountmast.coordination.membership.PeerServiceState
 import mountmast.storage.StateStore
 
 /** Takes part in the election, and starts or ends this node's term by the election's result. Confined to one thread. */
 internal class ElectionLoop(
     private val election: LeaderElection,
-    private val membership: PeerMembership,
     private val leaderComponents: CurrentLeaderComponents,
     private val componentsFactory: LeaderComponentsFactory,
     private val resignationCheck: ResignationCheck,
@@ -26,13 +23,8 @@
         val leaderTerm = leaderComponents.get()?.leaderTerm
         // A leader that is partitioned from the workers alone, in either direction, would renew its own lease for ever while the
         // workers' leases expire.
-        val reason = leaderTerm?.let(resignationCheck::reasonToResign)
-        if (leaderTerm != null &&
-            reason != null &&
-            membership.countPeers(PeerServiceState.SERVING) > 0
-        ) {
-            election.resign(leaderTerm.leaderLease, reason)
-        }
+        val resignation = leaderTerm?.let(resignationCheck::decide)
+        if (leaderTerm != null && resignation != null) election.resign(leaderTerm.leaderLease, resignation.reason, resignation.abstainMs)
         replaceComponents()
         readinessMonitor.updateAdmission()
     }
--- a/src/main/kotlin/mountmast/coordination/election/LeaderElection.kt
+++ b/src/main/kotlin/mountmast/coordination/election/LeaderElection.kt
@@ -89,12 +89,13 @@
 
     /**
      * Ends this node's leadership by [lease] and revokes the store lease, so that another node can be elected at once. This node
-     * attempts no election for 20 seconds. Does nothing if this node no longer leads by [lease]. The log shows the [reason].
+     * attempts no election for [abstainMs] milliseconds. Does nothing if this node no longer leads by [lease]. The log shows the
+     * [reason].
      */
-    fun resign(lease: LeaderLease, reason: String) {
+    fun resign(lease: LeaderLease, reason: String, abstainMs: Long) {
         if (!leadership.stepDownFrom(lease, reason)) return
         resignationCounter.add()
-        electionBackoffUntil = clock.now() + RESIGNATION_BACKOFF_MS
+        electionBackoffUntil = clock.now() + abstainMs
         try {
             store.revokeLease(lease.storeLease)
         } catch (e: StoreException) {
@@ -143,8 +144,4 @@
         electionCounter.add()
         leadership.becomeLeader(result)
     }
-
-    private companion object {
-        const val RESIGNATION_BACKOFF_MS = 20_000L
-    }
 }
--- a/src/test/kotlin/mountmast/coordination/controller/RecoveryTest.kt
+++ b/src/test/kotlin/mountmast/coordination/controller/RecoveryTest.kt
@@ -139,6 +139,37 @@
         assertNotNull(world.hosts.firstNotNullOfOrNull { it.controller?.leaderTerm() })
     }
 
+    @Test
+    fun `a leader that reaches the state service alone, neither workers nor peers, resigns`() {
+        // It heard of no other node that could lead and went on leading, while no worker's lease was renewed and nothing started.
+        val world = SimulatedCluster(28, isNetworkReliable = true)
+        world.run(20_000, busy = false)
+        val running = world.accept(world.plainJob(1) { it.copy(estimateS = 90.0, tasks = 4, cpus = 4.0, types = listOf(TypeId("s"))) })
+        world.run(15_000, busy = false)
+        val leaderHost = world.hosts.first { it.controller?.leaderTerm() != null }
+        leaderHost.faults.peersCutUntil = world.time.now + 300_000
+        world.run(8000, busy = false)
+        leaderHost.faults.workersCutUntil = world.time.now + 290_000
+        world.run(25_000, busy = false)
+        assertEquals(null, leaderHost.controller?.leaderTerm())
+        assertNotNull(world.hosts.firstNotNullOfOrNull { it.controller?.leaderTerm() })
+        world.expectDone(listOf(running, world.accept(world.plainJob(2))), 200_000)
+    }
+
+    @Test
+    fun `a leader that no worker reaches leads on once it was elected again for want of any other node`() {
+        val world = SimulatedCluster(28, isNetworkReliable = true)
+        world.accept(world.plainJob(1) { it.copy(estimateS = 90.0, tasks = 4, cpus = 4.0, types = listOf(TypeId("s"))) })
+        world.run(20_000, busy = false)
+        val leaderHost = world.hosts.first { it.controller?.leaderTerm() != null }
+        (world.hosts - leaderHost).forEach { it.crash(300_000) }
+        leaderHost.faults.workersCutUntil = world.time.now + 200_000
+        world.run(30_000, busy = false)
+        val term = checkNotNull(leaderHost.controller?.leaderTerm()) { "nobody leads" }
+        world.run(60_000, busy = false)
+        assertTrue(term === leaderHost.controller?.leaderTerm(), "resigned again, though no other node can lead")
+    }
+
     @Test
     fun `a job cancelled before its assignments are in the store is removed from the cluster state`() {
         // An assignment that is not yet in the journal when its job is cancelled is never written. Such assignments once stayed in the
--- a/src/test/kotlin/mountmast/coordination/election/LeaderElectionTest.kt
+++ b/src/test/kotlin/mountmast/coordination/election/LeaderElectionTest.kt
@@ -70,7 +70,7 @@
         val first = Participant("node-0")
         val second = Participant("node-1")
         stepFor(STEP_MS, first, second)
-        first.election.resign(checkNotNull(first.election.leaderLease), "a test")
+        first.election.resign(checkNotNull(first.election.leaderLease), "a test", abstainMs = 20_000)
         time.advance(STEP_MS)
         first.election.step()
         assertNull(first.token)
@@ -88,7 +88,7 @@
         time.advance(timing.ttlMs + STEP_MS)
         first.election.step()
         val current = first.election.leaderLease
-        first.election.resign(former, "a test")
+        first.election.resign(former, "a test", abstainMs = 20_000)
         assertNotNull(current)
         assertEquals(current, first.election.leaderLease)
     }
