A node that has just started is ready for 3 s, unless another node says that it serves

What callers saw: after a restart of all nodes users were answered up to a second later than before: a node was unready until it could serve or had a response of each other node, some 0.2 to 0.4 s later than before, and the load balancer, which asks each second and twice, missed a probe. Change: the 3 s for which a node stays ready after it became unable to serve apply from its first exchange of heartbeats on, too, if no peer says that it serves. A node that is restarted while others serve is unready until it can, as before; one that is restarted into a cut turns unready after 3 s.

--- a/src/main/kotlin/mountmast/coordination/controller/ReadinessMonitor.kt
+++ b/src/main/kotlin/mountmast/coordination/controller/ReadinessMonitor.kt
@@ -37,10 +37,14 @@
     private val wakeLag = metrics.timing(MetricNames.WAKE_LAG)
     private val lastReadiness = AtomicReference<Readiness>()
 
-    /** When this node last served users, or knew that no node does; null if neither was ever so. */
+    /** When this node last served users or knew that no node does, or when it started; null before its first exchange of heartbeats. */
     @Volatile
     private var lastUndisputedAt: MonotonicTime? = null
 
+    /** Whether the first exchange of heartbeats is over and was taken into account. */
+    @Volatile
+    private var isStarted = false
+
     init {
         metrics.gauge(MetricNames.READY) { if (assess().isReady) 1 else 0 }
         metrics.gauge(MetricNames.PEERS_HEARD) { peerCount - membership.countPeers(PeerServiceState.UNKNOWN) }
@@ -76,11 +80,16 @@
      * another node does not respond, it may still serve users, so this node is unready.
      *
      * A node that has just become unable to serve stays ready for [DECISION_DELAY_MS]: when a common failure begins or ends, the nodes
-     * notice it one after another.
+     * notice it one after another. One that has just started is ready for the same time if no other node says that it serves: if all nodes
+     * were restarted, the load balancer uses them again the sooner.
      */
     fun isReady(): Boolean = updateReadiness().isReady
 
     private fun updateReadiness(): Readiness {
+        if (!isStarted && membership.hasExchangedHeartbeats) {
+            isStarted = true
+            if (membership.countPeers(PeerServiceState.SERVING) == 0) lastUndisputedAt = clock.now()
+        }
         val readiness = assess()
         if (readiness == Readiness.SERVING || readiness == Readiness.NO_NODE_SERVES) lastUndisputedAt = clock.now()
         if (lastReadiness.getAndSet(readiness) != readiness) {
--- a/src/main/kotlin/mountmast/coordination/membership/PeerMembership.kt
+++ b/src/main/kotlin/mountmast/coordination/membership/PeerMembership.kt
@@ -44,6 +44,11 @@
      */
     private val latestResponses = ConcurrentHashMap<NodeId, ReceivedHeartbeat>()
 
+    /** Whether this node has tried to send a heartbeat to every other node; before that, it is unknown whether any of them serves users. */
+    @Volatile
+    var hasExchangedHeartbeats = false
+        private set
+
     /** Returns whether [node] serves users, by its response to a heartbeat that this node sent in the last six seconds. */
     fun serviceOf(node: NodeId): PeerServiceState {
         val response = latestResponses[node]
@@ -66,7 +71,10 @@
     private fun isFresh(heartbeat: ReceivedHeartbeat) = clock.now() - heartbeat.receivedAt < MAX_HEARTBEAT_AGE_MS
 
     /** Exchanges heartbeats with all other nodes, one after another. */
-    fun exchangeHeartbeats() = members.forEach(::exchangeHeartbeatWith)
+    fun exchangeHeartbeats() {
+        members.forEach(::exchangeHeartbeatWith)
+        hasExchangedHeartbeats = true
+    }
 
     /** Exchanges heartbeats with [node] at once, provided that a heartbeat of that node was received in the last six seconds. */
     fun exchangeHeartbeatIfAlive(node: NodeId) {
--- a/src/test/kotlin/mountmast/coordination/membership/PeerMembershipTest.kt
+++ b/src/test/kotlin/mountmast/coordination/membership/PeerMembershipTest.kt
@@ -10,7 +10,9 @@
 import mountmast.standin.VirtualTime
 import mountmast.transport.PeerClient
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.net.InetSocketAddress
 
@@ -46,8 +48,10 @@
     @Test
     fun `a peer counts as serving until its heartbeat is six seconds old`() {
         val membership = membership(RecordingPeers(heartbeat(serves = true)))
+        assertFalse(membership.hasExchangedHeartbeats)
         assertEquals(PeerServiceState.UNKNOWN, membership.serviceOf(peer))
         membership.exchangeHeartbeats()
+        assertTrue(membership.hasExchangedHeartbeats)
         assertEquals(1, membership.countPeers(PeerServiceState.SERVING))
         time.advance(5999)
         assertEquals(1, membership.countPeers(PeerServiceState.SERVING))
