--- a/src/main/kotlin/mountmast/storage/HttpStateStore.kt
+++ b/src/main/kotlin/mountmast/storage/HttpStateStore.kt
@@ -1,6 +1,5 @@
 package mountmast.storage
 
-import com.google.common.util.concurrent.RateLimiter
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
@@ -13,14 +12,11 @@
 import mountmast.protocol.StoreLeaseId
 import mountmast.protocol.WireJson
 import mountmast.transport.HttpCaller
-import mountmast.transport.MetricNames
 import mountmast.transport.Metrics
-import mountmast.transport.NoAnswerException
 import mountmast.transport.Reply
 import org.slf4j.LoggerFactory
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.TimeUnit
 
 private val log = LoggerFactory.getLogger("mountmast.store")
 
@@ -32,37 +28,27 @@
  * @property nodeCount number of controller nodes that share the state service's rates
  */
 class HttpStateStore(
-    private val address: InetSocketAddress,
+    address: InetSocketAddress,
     private val limits: StateLimits,
     private val nodeCount: Int,
-    private val caller: HttpCaller = HttpCaller(),
+    caller: HttpCaller = HttpCaller(),
     metrics: Metrics = Metrics(),
 ) : StateStore {
-    private val callDurations = metrics.timing(MetricNames.STORE_CALLS)
-    private val failureCounter = metrics.counter(MetricNames.STORE_FAILURES)
-
-    private val requestLimiter = RateLimiter.create(limits.requestsPerSecond / nodeCount)
+    private val connection = StoreConnection(address, limits.requestsPerSecond / nodeCount, caller, metrics)
     private val writeBucket = TokenBucket(limits.writesPerSecond / nodeCount, System::nanoTime)
     private val rejectedKeys = ConcurrentHashMap.newKeySet<String>()
 
-    @Volatile
-    private var lastAnswerNanos = System.nanoTime()
-
-    @Volatile
-    private var wasLastCallAnswered = false
-
-    override val isReachable: Boolean
-        get() = wasLastCallAnswered || System.nanoTime() - lastAnswerNanos < REACHABLE_AFTER_ANSWER_NANOS
+    override val isReachable: Boolean get() = connection.isReachable
 
     override fun setRole(leader: Boolean) {
-        requestLimiter.rate = StoreRateQuota.requests(limits, nodeCount, leader)
+        connection.setRequestRate(StoreRateQuota.requests(limits, nodeCount, leader))
         writeBucket.setRate(StoreRateQuota.writes(limits, nodeCount, leader))
     }
 
     override fun writeBudget(): WriteBudget = writeBucket.budget()
 
     override fun get(key: String): Entry? {
-        val reply = call("GET", "/store/$key", null)
+        val reply = connection.call("GET", "/store/$key", null)
         return when (reply.status) {
             200 -> decode<EntryBody>(reply).toEntry()
             404 -> null
@@ -72,7 +58,7 @@
 
     override fun list(prefix: String, after: String?, limit: Int): EntryPage {
         val from = after?.let { "&from=$it" } ?: ""
-        val reply = call("GET", "/store?starts=$prefix$from&page=$limit", null)
+        val reply = connection.call("GET", "/store?starts=$prefix$from&page=$limit", null)
         if (!reply.isOk) throw unavailable(reply)
         val page = decode<PageBody>(reply)
         return EntryPage(page.items.map { it.toEntry() }, page.more, page.revision)
@@ -89,7 +75,7 @@
                 }
             },
         )
-        val reply = call("POST", "/commit", WireJson.encodeToString(requestBody))
+        val reply = connection.call("POST", "/commit", WireJson.encodeToString(requestBody))
         return when {
             reply.isOk -> TransactionResult.Committed(decode<RevisionBody>(reply).revision)
             reply.status == 409 -> TransactionResult.CompareFailed(decode<CompareFailedBody>(reply).failed)
@@ -101,13 +87,13 @@
     }
 
     override fun grantLease(ttlMs: Long): StoreLeaseId {
-        val reply = call("POST", "/holds", WireJson.encodeToString(TtlBody(ttlMs)))
+        val reply = connection.call("POST", "/holds", WireJson.encodeToString(TtlBody(ttlMs)))
         if (!reply.isOk) throw unavailable(reply)
         return decode<LeaseBody>(reply).storeLease
     }
 
     override fun keepAlive(storeLease: StoreLeaseId): Boolean {
-        val reply = call("POST", "/holds/$storeLease/renew", "")
+        val reply = connection.call("POST", "/holds/$storeLease/renew", "")
         return when (reply.status) {
             200 -> true
             404 -> false
@@ -116,12 +102,11 @@
     }
 
     override fun revokeLease(storeLease: StoreLeaseId) {
-        call("DELETE", "/holds/$storeLease", null)
+        connection.call("DELETE", "/holds/$storeLease", null)
     }
 
     override fun watch(prefix: String, from: Revision, waitMs: Long): WatchResult {
-        awaitRequestQuota()
-        val reply = send("GET", "/follow?starts=$prefix&from=$from&waitMs=$waitMs", null, ANSWER_TIMEOUT_MS + waitMs.toInt())
+        val reply = connection.watch("/follow?starts=$prefix&from=$from&waitMs=$waitMs", waitMs.toInt())
         return when (reply.status) {
             200 -> decode<WatchBody>(reply).let { body ->
                 WatchResult.Changes(body.news.map { it.toEvent() }, body.revision)
@@ -131,64 +116,12 @@
         }
     }
 
-    /**
-     * Sends a request that the state service answers at once. [isReachable] follows from the outcome of these requests alone: a watch that
-     * is answered, perhaps late, does not show that the service answers other requests of this node. Throws [StoreException] if this
-     * node's share of the request rate is used up, or if no answer arrives.
-     */
-    private fun call(method: String, path: String, requestBody: String?): Reply {
-        val startedNanos = System.nanoTime()
-        awaitRequestQuota()
-        val admittedNanos = System.nanoTime()
-        var isAnswered = false
-        try {
-            val reply = send(method, path, requestBody, ANSWER_TIMEOUT_MS)
-            recordDuration("$method $path", startedNanos, admittedNanos)
-            // A status below 500 shows that the service is reachable; it answers 429 to requests above its rates.
-            isAnswered = reply.status < SERVER_ERROR
-            return reply
-        } finally {
-            wasLastCallAnswered = isAnswered
-            if (isAnswered) lastAnswerNanos = System.nanoTime()
-        }
-    }
-
-    /** Waits until a request is within this node's share of the request rate. */
-    private fun awaitRequestQuota() {
-        if (!requestLimiter.tryAcquire(MAX_RATE_WAIT_MS, TimeUnit.MILLISECONDS)) throw rateExceeded()
-    }
-
-    /** Sends a request and waits up to [waitMs] milliseconds for the answer. Throws [StoreException] if none arrives. */
-    private fun send(method: String, path: String, requestBody: String?, waitMs: Int): Reply = try {
-        caller.call(address, method, path, requestBody?.encodeToByteArray(), waitMs).also {
-            if (it.status >=
-                SERVER_ERROR
-            ) {
-                failureCounter.add()
-            }
-        }
-    } catch (e: NoAnswerException) {
-        failureCounter.add()
-        throw if (e.mayHaveTakenEffect) StoreTimeoutException("$path: ${e.message}") else StoreUnavailableException("$path: ${e.message}")
-    }
-
-    /** Records how long a call took since [startedNanos]; until [admittedNanos] it waited for this node's share of the request rate. */
-    private fun recordDuration(call: String, startedNanos: Long, admittedNanos: Long) {
-        val tookMs = (System.nanoTime() - startedNanos) / NANOS_PER_MS
-        callDurations.record(tookMs)
-        if (tookMs >= SLOW_CALL_MS) {
-            log.debug("{} took {} ms, {} of them waiting for the rate limit", call, tookMs, (admittedNanos - startedNanos) / NANOS_PER_MS)
-        }
-    }
-
     /** Waits until [count] changes are within this node's share of the write rate. */
     private fun awaitWriteQuota(count: Int) {
-        val waitMs = writeBucket.take(count, MAX_RATE_WAIT_MS) ?: throw rateExceeded()
+        val waitMs = writeBucket.take(count, MAX_RATE_WAIT_MS) ?: throw StoreConnection.rateExceeded()
         if (waitMs > 0) Thread.sleep(waitMs)
     }
 
-    private fun rateExceeded() = StoreUnavailableException("not sent: the call exceeds this node's share of the state service's rates")
-
     /**
      * Returns the exception for a rejected [transaction]. Logs only one rejection for each largest key, since users may send the same
      * request any number of times.
@@ -209,17 +142,8 @@
     }
 
     private companion object {
-        const val ANSWER_TIMEOUT_MS = 1500
-
-        /** After an answer the service counts as reachable for this long, even if later calls fail. */
-        const val REACHABLE_AFTER_ANSWER_NANOS = 2_500_000_000L
         const val MAX_RATE_WAIT_MS = 300L
         const val MAX_ANSWER_CHARS = 200
-        const val SLOW_CALL_MS = 100
-        const val NANOS_PER_MS = 1_000_000L
-
-        /** The lowest HTTP status that tells of a failure of the server. */
-        const val SERVER_ERROR = 500
         const val MAX_REJECTED_KEYS = 1000
     }
 }
