--- a/src/test/kotlin/mountmast/coordination/controller/ReadinessTest.kt
+++ b/src/test/kotlin/mountmast/coordination/controller/ReadinessTest.kt
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test
 import kotlin.random.Random
 
-/** What `/ready` says when nodes lose the state service, one another, or both. A node that hears nobody must not take that for an outage. */
+/** What `/ready` says when nodes lose the state service, one another, or both. A node that hears nobody may be the only one cut off. */
 class ReadinessTest {
     private val ControllerHost.isReady get() = controller?.users?.isReady() == true
 
