--- a/src/test/kotlin/mountmast/coordination/controller/ReadinessTest.kt
+++ b/src/test/kotlin/mountmast/coordination/controller/ReadinessTest.kt
@@ -193,6 +193,7 @@
         val random = Random(seed)
         val cluster = cluster(1000 + seed)
         val cutFromStoreSince = arrayOfNulls<Long>(SimulatedCluster.NODES)
+        var anotherServesSince: Long? = null
         repeat(200) {
             val host = cluster.hosts.random(random)
             val until = cluster.time.now + random.nextLong(2000, 60_000)
@@ -207,16 +208,15 @@
             for ((node, cannot) in cannotServe.withIndex()) {
                 cutFromStoreSince[node] = if (cannot) cutFromStoreSince[node] ?: cluster.time.now else null
             }
-            checkReadiness(seed, cluster, cutFromStoreSince.toList())
+            anotherServesSince = if (cutFromStoreSince.any { it == null }) anotherServesSince ?: cluster.time.now else null
+            anotherServesSince?.let { checkReadiness(seed, cluster, cutFromStoreSince.toList(), it) }
         }
     }
 
-    private var anotherServesSince: Long? = null
-
-    private fun checkReadiness(seed: Long, cluster: SimulatedCluster, cutFromStoreSince: List<Long?>) {
+    /** Asserts that each node that has not reached the state service for long, while another has since [anotherServesSince], is unready. */
+    private fun checkReadiness(seed: Long, cluster: SimulatedCluster, cutFromStoreSince: List<Long?>, anotherServesSince: Long) {
         val now = cluster.time.now
-        anotherServesSince = if (cutFromStoreSince.any { it == null }) anotherServesSince ?: now else null
-        val servedFor = now - (anotherServesSince ?: return)
+        val servedFor = now - anotherServesSince
         for ((node, since) in cutFromStoreSince.withIndex()) {
             if (since == null || minOf(now - since, servedFor) <= TURN_UNREADY_MS) continue
             assertTrue(!cluster.hosts[node].isReady, "seed $seed, ${now / 1000.0} s: node-$node cannot serve and is ready")
