A machine that is gone no longer speaks against a job, and a job on trial may have one rented

Cause: the failures outlived the machines that gave them, in memory and in the record for the next leader, and scale out passed over every job that failed on three machines. The backoff counted failed tasks instead of machines, so a job of many tasks began at the longest delay (80 s).

Change: a machine that is removed takes its failure along. A job that failed on three machines and completed nothing is on trial: one task at a time, which is demand for one machine at once after the third failed machine, then after 1, 2, 4 ... minutes by the number of machines on which it failed, so that a job that fails everywhere does not rent without end. The trial ends with a completed task, or with an attempt that a heartbeat shows to run more than twice as long (and 5 s) as the longest failed one. The record of failing jobs gains that time as an optional field; its number of failures is read as one of machines.

--- a/src/main/kotlin/mountmast/coordination/autoscaling/MachineInventory.kt
+++ b/src/main/kotlin/mountmast/coordination/autoscaling/MachineInventory.kt
@@ -66,7 +66,10 @@
         } while (page.more && page.machines.isNotEmpty())
         machinesReadAt = now
         pageCount = pagesRead
-        context.lock.withLock { for (machine in listed) updateMachine(machine, now) }
+        context.lock.withLock {
+            for (machine in listed) updateMachine(machine, now)
+            cluster.health.dropRemovedMachines()
+        }
     }
 
     private fun updateMachine(listed: ListedMachine, now: MonotonicTime) {
--- a/src/main/kotlin/mountmast/coordination/autoscaling/ScaleOutPlanner.kt
+++ b/src/main/kotlin/mountmast/coordination/autoscaling/ScaleOutPlanner.kt
@@ -27,7 +27,7 @@
         val round = Round(now, history.overdueOfferings(now))
         for (unplaced in context.unplacedTasks) {
             val job = cluster.jobs[unplaced.job] ?: continue
-            if (!job.isPoisoned) round.coverTasks(job, unplaced.count)
+            if (job.mayRequestMachine(now)) round.coverTasks(job, unplaced.count)
         }
         return round.machinesToRequest
     }
--- a/src/main/kotlin/mountmast/coordination/controller/SnapshotCache.kt
+++ b/src/main/kotlin/mountmast/coordination/controller/SnapshotCache.kt
@@ -145,7 +145,7 @@
         } else {
             job.unreleasedAssignments.values.groupingBy { it.zone }.eachCount()
         }
-        val tasks = JobTasks(job.openCount, job.spec.tasks - job.doneCount, job.unreleasedAssignments.size, livePerZone) { count ->
+        val tasks = JobTasks(job.placeableCount, job.spec.tasks - job.doneCount, job.unreleasedAssignments.size, livePerZone) { count ->
             job.firstOpen(count)
         }
         val jobTiming = JobTiming(job.waitingFrom, estimateS, secondsUntilDue(job) - estimateS, (now - job.lastProgressAt) / 1000.0)
--- a/src/main/kotlin/mountmast/coordination/scheduling/JobView.kt
+++ b/src/main/kotlin/mountmast/coordination/scheduling/JobView.kt
@@ -21,7 +21,7 @@
 
 /** The number of a job's tasks in each state. */
 class JobTasks(
-    /** Tasks to place: neither done nor assigned. */
+    /** Tasks to place: neither done nor assigned. One at a time counts as open if the job's tasks failed on several machines. */
     val openCount: Int,
     /** Tasks that are not done: open and assigned ones. */
     val unfinishedCount: Int,
--- a/src/main/kotlin/mountmast/coordination/scheduling/Scheduler.kt
+++ b/src/main/kotlin/mountmast/coordination/scheduling/Scheduler.kt
@@ -70,9 +70,7 @@
             val quota = snapshot.quotas[job.spec.team] ?: return
             val wanted = job.tasks.openCount - placement.startedCount(job)
             if (!job.mayStart || wanted <= 0 || job.spec.id in jobsWithUnplacedGuaranteedTasks) return
-            // A job that fails on every machine runs one task at a time.
-            val attemptedCount = if (job.isPoisoned) minOf(wanted, maxOf(0, 1 - job.tasks.assignedCount)) else wanted
-            val blockedCount = placement.place(job, attemptedCount) { priorities.mayBorrow(quota, it) }
+            val blockedCount = placement.place(job, wanted) { priorities.mayBorrow(quota, it) }
             if (blockedCount <= 0) return
             unplacedTasks += UnplacedTasks(job.spec.id, blockedCount, isGuaranteed = false)
             if (!quota.hasGuarantee && !job.isPoisoned) claimWithoutGuarantee(job, blockedCount)
@@ -97,8 +95,7 @@
          * reserved or requested for tasks that still find no free capacity.
          */
         private fun placeLongWaiting(job: JobView) {
-            val allowed = if (job.isPoisoned) minOf(job.tasks.openCount, 1 - job.tasks.assignedCount) else job.tasks.openCount
-            val wanted = allowed - placement.startedCount(job)
+            val wanted = job.tasks.openCount - placement.startedCount(job)
             if (wanted > 0) placement.place(job, wanted) { true }
         }
     }
--- a/src/main/kotlin/mountmast/coordination/state/Job.kt
+++ b/src/main/kotlin/mountmast/coordination/state/Job.kt
@@ -106,7 +106,6 @@
     /** The job's failures since one of its tasks last completed. */
     val recentFailures = JobFailures()
     val failedMachines get() = recentFailures.machines
-    val failures by recentFailures::count
     val notBefore by recentFailures::notBefore
 
     /** When a task of the job was last placed, or the job became known or was released. Used to detect jobs that stall. */
@@ -127,6 +126,18 @@
      */
     val isPoisoned: Boolean get() = doneCount == 0 && failedMachines.size >= MIN_FAILED_MACHINES
 
+    /**
+     * Whether the job is on trial: its tasks failed on [MIN_FAILED_MACHINES] machines, some of which may have been removed since, and none
+     * has completed. One task of it is attempted at a time, on machines that are requested for the job ever more rarely.
+     */
+    val isOnTrial: Boolean get() = doneCount == 0 && recentFailures.machineCount >= MIN_FAILED_MACHINES
+
+    /** How many more tasks of the job may be placed now, as far as the job's failures are concerned. */
+    val placeableCount: Int get() = if (isOnTrial) minOf(openCount, maxOf(0, 1 - unreleasedAssignments.size)) else openCount
+
+    /** Whether a machine may be requested for the job at [now], as far as the job's failures are concerned. */
+    fun mayRequestMachine(now: MonotonicTime): Boolean = !isOnTrial || now >= recentFailures.rentalNotBefore
+
     /** Whether the job is an array job and all of its tasks are done. A service never completes. */
     val isComplete: Boolean get() = spec.shape == Shape.ARRAY && doneCount == spec.tasks
 
--- a/src/main/kotlin/mountmast/coordination/workers/HeartbeatReconciler.kt
+++ b/src/main/kotlin/mountmast/coordination/workers/HeartbeatReconciler.kt
@@ -85,6 +85,7 @@
     private fun reconcileTask(machine: Machine, assignment: Assignment, reported: ReportedTask, now: MonotonicTime) {
         if (assignment.phase >= Phase.ENDED) return
         assignment.recordReported(reported.state, now)
+        if (reported.state == TaskState.RUNNING) cluster.health.recordRunning(assignment, now)
         if (reported.state == TaskState.EXITED) endExitedAssignment(machine, assignment, reported.cause, now)
     }
 
@@ -93,7 +94,7 @@
         cluster.assignments.end(assignment, completed = cause == ExitCause.DONE)
         when (cause) {
             ExitCause.DONE -> recordCompletion(machine, assignment, now)
-            ExitCause.FAILED -> cluster.health.recordFailure(machine, job, now)
+            ExitCause.FAILED -> cluster.health.recordFailure(machine, job, runTimeS(assignment, now) ?: 0.0, now)
             // A worker's free capacity differs briefly from the cluster state, for example while a stopped task saves its progress.
             ExitCause.NO_ROOM, ExitCause.BUSY -> machine.health.pausePlacementUntil(now + REJECTION_PAUSE_MS)
             ExitCause.UNKNOWN -> job.recentFailures.pausePlacementUntil(now + REJECTION_PAUSE_MS)
@@ -105,12 +106,14 @@
         val job = assignment.job
         machine.health.clearFailures()
         job.recentFailures.clear()
-        val since = assignment.runningSince ?: return
-        val runS = (now - since) / MS_PER_S
+        val runS = runTimeS(assignment, now) ?: return
         cluster.estimates.recordRun(job.spec.team, runS)
         cluster.health.recordCompletion(machine, assignment, runS)
     }
 
+    /** Returns for how long the task of [assignment] has been reported as running at [now], in seconds; null if it never was. */
+    private fun runTimeS(assignment: Assignment, now: MonotonicTime): Double? = assignment.runningSince?.let { (now - it) / MS_PER_S }
+
     private companion object {
         /**
          * How long after a worker has rejected a start no task is placed on its machine or, if the cause is [ExitCause.UNKNOWN], no task
--- a/src/main/kotlin/mountmast/storage/Records.kt
+++ b/src/main/kotlin/mountmast/storage/Records.kt
@@ -179,11 +179,18 @@
 @Serializable
 data class ImagesRecord(@SerialName("m") val images: Map<MachineId, Map<ImageId, Double>>)
 
-/** Some of the [machines] on which a job failed, and the number of its [failures] on all machines, up to a bound. */
+/**
+ * Some of the [machines] on which a job failed, the number of its [failures], at most one for each machine and up to a bound, and the
+ * longest time that a failed attempt ran, in seconds.
+ */
 @Serializable
-data class FailingJob(@SerialName("m") val machines: List<MachineId>, @SerialName("n") val failures: Int)
+data class FailingJob(
+    @SerialName("m") val machines: List<MachineId>,
+    @SerialName("n") val failures: Int,
+    @SerialName("s") val longestRunS: Double = 0.0,
+)
 
-/** Jobs that fail on every machine on which they run. A hint on which no guarantee depends. */
+/** Jobs that failed on every machine on which they ran. A hint on which no guarantee depends. */
 @Serializable
 data class FailingRecord(@SerialName("j") val jobs: Map<JobId, FailingJob>)
 
--- a/src/test/kotlin/mountmast/contract/SerializedExamples.kt
+++ b/src/test/kotlin/mountmast/contract/SerializedExamples.kt
@@ -280,6 +280,7 @@
         example("stored-images-full", ImagesRecord(mapOf(MachineId("vm-12") to mapOf(ImageId("img-9") to 4.5, ImageId("base") to 0.5)))),
         example("stored-images-least", ImagesRecord(emptyMap())),
         example("stored-failing-job-full", fullFailing),
+        example("stored-failing-job-run", FailingJob(listOf(MachineId("vm-12")), 3, longestRunS = 8.0)),
         example("stored-failing-job-least", FailingJob(emptyList(), 0)),
         example("stored-failing-full", FailingRecord(mapOf(JobId("j-000412") to fullFailing))),
         example("stored-failing-least", FailingRecord(emptyMap())),
