Bound the depth of every body before parsing, and answer a request in whatever way its handler ends

Cause: the library parses by recursion on threads of 256 KiB, nothing answered an error that is no exception, and the JDK's server counts a connection that was closed without an answer as open for good, unless a time limit for answers is set (a bare JDK server with 5 connections and a handler that closes the exchange on another thread refuses all after 5; with maxRspTime it recovers).

Change: texts are parsed in one place, which bounds the depth to 128: bodies of users, workers, forwarded requests, the state service and the cloud. Whatever a handler throws is answered with 500. An exchange that is not answered within 10 s is dropped. The settings of the JDK's server move from Main to the transport layer.

--- a/src/main/kotlin/mountmast/Main.kt
+++ b/src/main/kotlin/mountmast/Main.kt
@@ -12,6 +12,7 @@
 import mountmast.transport.HttpPeerClient
 import mountmast.transport.HttpWorkerClient
 import mountmast.transport.Metrics
+import mountmast.transport.configureJdkServer
 import java.security.SecureRandom
 import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
@@ -37,17 +38,9 @@
  * @throws java.io.IOException if one of the node's addresses cannot be bound.
  */
 internal fun start(settings: Settings, operatorSettings: OperatorSettings) {
-    // By default the JDK's HTTP client sends a failed POST again by itself, and the JDK's HTTP server delays small answers.
+    // By default the JDK's HTTP client sends a failed POST again by itself.
     System.setProperty("sun.net.http.retryPost", "false")
-    System.setProperty("sun.net.httpserver.nodelay", "true")
-    // Seconds within which a request must have been read: a request that never arrives whole must not hold one of the few threads that
-    // read requests. The limit is longer than heartbeats may wait in their queue, as their bodies are read only after that wait.
-    System.setProperty("sun.net.httpserver.maxReqTime", "10")
-    val connectionBudget = ConnectionBudget.of(settings.maxConnections)
-    System.setProperty("sun.net.httpserver.maxIdleConnections", connectionBudget.maxIdleConnections.toString())
-    // Seconds after which an idle connection is closed.
-    System.setProperty("sun.net.httpserver.idleInterval", "60")
-    System.setProperty("jdk.httpserver.maxConnections", connectionBudget.maxInboundConnections.toString())
+    configureJdkServer(ConnectionBudget.of(settings.maxConnections))
     val metrics = Metrics()
     val runId = SecureRandom().nextLong().toULong().toString(Character.MAX_RADIX)
     val store = HttpStateStore(settings.state, settings.stateLimits, settings.nodeCount, metrics = metrics)
--- a/src/main/kotlin/mountmast/coordination/state/JobFailures.kt
+++ b/src/main/kotlin/mountmast/coordination/state/JobFailures.kt
@@ -52,7 +52,7 @@
         return hadFailed
     }
 
-    /** Removes the machines that match [isRemoved] from [machines]: whether the machine or the job was at fault can no longer be found out. */
+    /** Removes the machines that match [isRemoved] from [machines]: whether they or the job were at fault can no longer be found out. */
     internal fun dropMachines(isRemoved: (MachineId) -> Boolean) {
         evidence.removeIf(isRemoved)
     }
--- a/src/main/kotlin/mountmast/protocol/JobValidation.kt
+++ b/src/main/kotlin/mountmast/protocol/JobValidation.kt
@@ -30,7 +30,7 @@
     /** Returns the JSON object in [text]. Throws [MalformedRequestException] if [text] is not a JSON object. */
     fun parseObject(text: String): JsonObject {
         val element = try {
-            WireJson.parseToJsonElement(text)
+            parseJson(text)
         } catch (e: SerializationException) {
             throw MalformedRequestException("body: not JSON")
         }
--- a/src/main/kotlin/mountmast/storage/HttpStateStore.kt
+++ b/src/main/kotlin/mountmast/storage/HttpStateStore.kt
@@ -3,7 +3,6 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
-import kotlinx.serialization.decodeFromString
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.JsonElement
 import mountmast.protocol.ModRevision
@@ -11,6 +10,7 @@
 import mountmast.protocol.StateLimits
 import mountmast.protocol.StoreLeaseId
 import mountmast.protocol.WireJson
+import mountmast.protocol.decodeJson
 import mountmast.transport.HttpCaller
 import mountmast.transport.Metrics
 import mountmast.transport.Reply
@@ -136,7 +136,7 @@
     private fun unavailable(reply: Reply) = StoreUnavailableException("status ${reply.status}")
 
     private inline fun <reified T> decode(reply: Reply): T = try {
-        WireJson.decodeFromString<T>(reply.text)
+        decodeJson<T>(reply.text)
     } catch (e: SerializationException) {
         throw StoreTimeoutException("malformed answer of the state service: ${e.message}")
     }
--- a/src/main/kotlin/mountmast/transport/BoundedServer.kt
+++ b/src/main/kotlin/mountmast/transport/BoundedServer.kt
@@ -45,7 +45,7 @@
         val handler = HttpExchangeHandler(http)
         val pools = arrayListOf(createPool(name, threadCount, maxWaiting, QueueMetrics.NONE))
         server.executor = pools.first()
-        if (bulkheads.none { it.pathPrefix == ANY_PATH }) server.createContext(ANY_PATH, handler)
+        if (bulkheads.none { it.pathPrefix == ANY_PATH }) server.createContext(ANY_PATH) { exchange -> answer(exchange, handler) }
         for (bulkhead in bulkheads) {
             val pool = createPool("$name-lane", bulkhead.threadCount, bulkhead.maxWaiting, bulkhead.metrics)
             pools += pool
@@ -94,20 +94,25 @@
 
     private fun refuse(exchange: HttpExchange, bulkhead: RequestBulkhead) {
         bulkhead.metrics.refusedRequests.add()
-        try {
-            exchange.responseHeaders.add("Retry-After", "1")
-            exchange.sendResponseHeaders(HttpURLConnection.HTTP_UNAVAILABLE, NO_BODY)
-        } catch (e: IOException) {
-            log.debug("cannot send the refusal of a request: {}", e.message)
+        answer(exchange) {
+            it.responseHeaders.add("Retry-After", "1")
+            it.sendResponseHeaders(HttpURLConnection.HTTP_UNAVAILABLE, NO_BODY)
         }
-        exchange.close()
     }
 
+    /**
+     * Has [handler] answer [exchange], and closes the exchange in whatever way [handler] ends. Closing an exchange that has not been
+     * answered closes its connection; the connection of one that has been answered stays open for the next request.
+     */
+    @Suppress("TooGenericExceptionCaught") // Whatever is thrown, an error too, must end neither the exchange unanswered nor the thread.
     private fun answer(exchange: HttpExchange, handler: JdkHandler) {
         try {
             handler.handle(exchange)
         } catch (e: IOException) {
             log.debug("cannot send the answer to a request: {}", e.message)
+        } catch (e: Throwable) {
+            log.error("request {} failed without an answer", exchange.requestURI.path, e)
+        } finally {
             exchange.close()
         }
     }
--- a/src/main/kotlin/mountmast/transport/Cloud.kt
+++ b/src/main/kotlin/mountmast/transport/Cloud.kt
@@ -1,7 +1,6 @@
 package mountmast.transport
 
 import com.google.common.util.concurrent.RateLimiter
-import kotlinx.serialization.decodeFromString
 import kotlinx.serialization.encodeToString
 import mountmast.protocol.MachineId
 import mountmast.protocol.MachineNames
@@ -10,6 +9,7 @@
 import mountmast.protocol.MachineTypes
 import mountmast.protocol.RentalRequest
 import mountmast.protocol.WireJson
+import mountmast.protocol.decodeJson
 import java.net.InetSocketAddress
 import java.net.URLEncoder
 import java.util.concurrent.TimeUnit
@@ -95,7 +95,7 @@
     }
 
     private inline fun <reified T> decode(reply: Reply): T = try {
-        WireJson.decodeFromString<T>(reply.text)
+        decodeJson<T>(reply.text)
     } catch (e: IllegalArgumentException) {
         throw CloudException("malformed answer of the cloud: ${e.message}", mayHaveTakenEffect = true)
     }
--- a/src/main/kotlin/mountmast/transport/HttpMessages.kt
+++ b/src/main/kotlin/mountmast/transport/HttpMessages.kt
@@ -29,8 +29,9 @@
 fun errorBody(message: String): String = WireJson.encodeToString(ErrorResponse(message))
 
 /**
- * Returns [handler] with its exceptions turned into answers, so that no request ends the thread that handles it: 400 for a
- * [SerializationException], 503 for an [IOException], and 500 for every other [RuntimeException].
+ * Returns [handler] with whatever it throws turned into answers: 400 for a [SerializationException], 503 for an [IOException], and 500
+ * for everything else, errors such as a [StackOverflowError] included. An exchange that ends without an answer is not only lost to its
+ * sender: the JDK's server counts its connection as open for [configureJdkServer]'s limit.
  */
 @Suppress("TooGenericExceptionCaught") // The last resort for faults in handlers: they are logged and answered with 500.
 internal fun answerExceptions(handler: HttpHandler): HttpHandler = { request ->
@@ -40,7 +41,7 @@
         json(400, errorBody("malformed"))
     } catch (e: IOException) {
         json(503, errorBody("interrupted"), retryAfterS = 1)
-    } catch (e: RuntimeException) {
+    } catch (e: Throwable) {
         log.error("request {} failed", request.uri.path, e)
         json(500, errorBody("internal error"), retryAfterS = 1)
     }
--- a/src/main/kotlin/mountmast/transport/Routes.kt
+++ b/src/main/kotlin/mountmast/transport/Routes.kt
@@ -1,10 +1,10 @@
 package mountmast.transport
 
-import kotlinx.serialization.decodeFromString
 import kotlinx.serialization.encodeToString
 import mountmast.protocol.Heartbeat
 import mountmast.protocol.Redirect
 import mountmast.protocol.WireJson
+import mountmast.protocol.decodeJson
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
 import org.http4k.core.Request
@@ -76,7 +76,7 @@
 private fun handleHeartbeat(request: Request, heartbeats: HeartbeatService): Response {
     val body = request.readBoundedBody() ?: return json(400, errorBody("body: over 64 KiB"))
     val heartbeat = try {
-        WireJson.decodeFromString<Heartbeat>(body)
+        decodeJson<Heartbeat>(body)
     } catch (e: IllegalArgumentException) {
         log.warn("malformed heartbeat: {}", e.message?.lineSequence()?.firstOrNull())
         return json(400, errorBody("malformed report"))
--- a/src/main/kotlin/mountmast/transport/WorkerClient.kt
+++ b/src/main/kotlin/mountmast/transport/WorkerClient.kt
@@ -1,10 +1,10 @@
 package mountmast.transport
 
-import kotlinx.serialization.decodeFromString
 import kotlinx.serialization.encodeToString
 import mountmast.protocol.CommandRequest
 import mountmast.protocol.Heartbeat
 import mountmast.protocol.WireJson
+import mountmast.protocol.decodeJson
 import java.net.InetSocketAddress
 
 /** The outcome of a request with commands to a worker. */
@@ -35,8 +35,8 @@
         try {
             val reply = caller.call(to, "POST", "/orders", WireJson.encodeToString(message).encodeToByteArray(), TIMEOUT_MS)
             return when (reply.status) {
-                200 -> CommandOutcome.Executed(WireJson.decodeFromString<Heartbeat>(reply.text))
-                409 -> CommandOutcome.Rejected(WireJson.decodeFromString<Heartbeat>(reply.text))
+                200 -> CommandOutcome.Executed(decodeJson<Heartbeat>(reply.text))
+                409 -> CommandOutcome.Rejected(decodeJson<Heartbeat>(reply.text))
                 else -> CommandOutcome.Unknown
             }
         } catch (e: NoAnswerException) {
--- a/src/test/kotlin/mountmast/transport/BoundedServerTest.kt
+++ b/src/test/kotlin/mountmast/transport/BoundedServerTest.kt
@@ -6,6 +6,8 @@
 import org.http4k.server.Http4kServer
 import org.http4k.server.asServer
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNotEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.net.HttpURLConnection
@@ -119,6 +121,38 @@
         server.stop()
     }
 
+    /** Guards against: a handler that ends by an error, which left its request unanswered and its connection open for good. */
+    @Test
+    fun `in whatever way a handler ends, its request is answered or its connection is closed, with and without a bulkhead`() {
+        val failures = listOf(StackOverflowError("on purpose"), AssertionError("on purpose"), InterruptedException("on purpose"))
+        val bulkhead = RequestBulkhead("/lane", threadCount = 1, maxWaiting = 2)
+        val failing: HttpHandler = { request ->
+            request.query("fail")?.let { throw failures[it.toInt()] }
+            Response(Status.OK).body("served")
+        }
+        for (server in listOf(failing.startWithBulkheads(bulkhead), answerExceptions(failing).startWithBulkheads(bulkhead))) {
+            fun send(path: String): Int? = try {
+                HttpCaller().call(server.address(), "GET", path, null, 2000).status
+            } catch (e: NoAnswerException) {
+                assertFalse("timed out" in e.message.orEmpty(), "$path: neither answered nor closed")
+                null
+            }
+            repeat(THREADS + WAITING + 1) {
+                for (path in listOf("/", "/lane")) for (failure in failures.indices) assertNotEquals(200, send("$path?fail=$failure"))
+            }
+            assertEquals(listOf(200, 200), listOf(send("/"), send("/lane")))
+            server.stop()
+        }
+    }
+
+    @Test
+    fun `a handler that overflows the stack or is interrupted is answered with 500`() {
+        val request = org.http4k.core.Request(org.http4k.core.Method.GET, "/")
+        for (failure in listOf(StackOverflowError("on purpose"), InterruptedException("on purpose"))) {
+            assertEquals(500, answerExceptions { throw failure }(request).status.code)
+        }
+    }
+
     private fun HttpHandler.startWithBulkheads(vararg bulkheads: RequestBulkhead): Http4kServer = asServer(
         BoundedServer(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), "test", THREADS, WAITING, bulkheads.toList()),
     ).start()
