A loop of a node goes on after an error in a step, not only after an exception

Cause: Agrona's runner reports an error to its handler and then ends the loop, so that an overflow of the stack in a step, by an answer of the state service for example, would have ended a loop of the node for good.

StepLoopTest: the loop ended before, and goes on now.

--- a/src/main/kotlin/mountmast/coordination/controller/StepLoop.kt
+++ b/src/main/kotlin/mountmast/coordination/controller/StepLoop.kt
@@ -24,17 +24,26 @@
 
 /**
  * Repeats [step] on a daemon thread named [name] until the process ends, and pauses after each run for the number of milliseconds
- * that [step] returns. An exception is logged, and the step is run again a second later.
+ * that [step] returns. Whatever is thrown, an error included, is logged, and the step is run again a second later.
  */
 internal class StepLoop(private val name: String, private val step: () -> Long) : Agent {
     override fun roleName() = name
 
     override fun doWork(): Int {
-        val pauseMs = step()
+        val pauseMs = runStep()
         if (pauseMs > 0) Thread.sleep(pauseMs)
         return 1
     }
 
+    /** Runs the step. Agrona's runner reports an error to its handler like an exception, but ends the loop after it. */
+    private fun runStep(): Long = try {
+        step()
+    } catch (e: Error) {
+        throw StepFailedException(e)
+    }
+
+    private class StepFailedException(cause: Error) : RuntimeException(cause)
+
     /** Starts the thread. */
     fun start() {
         // One invalid response or record must not end the loop for good.
