A job beyond the bound on borrowing is demand: by resource, for a first task, and after 70 s

Cause: three times a guarantee of 0 GPUs is none, and what is beyond the bound on borrowing was no demand for machines, not even after the 70 s after which the bound ends. The same for tasks larger than the bound, for teams with guaranteed GPUs and no guaranteed CPUs, and for teams whose services take all of the bound.

Change, the smallest exceptions that let accepted work run: no bound on a resource of which the team is guaranteed nothing (as for teams without any guarantee); the bound is at least one task; a job that waited for 70 s beyond it is demand for one task, within the team's limit beside its other demand. What starts beyond the bound is preempted by guaranteed work as before.

--- a/src/main/kotlin/mountmast/coordination/scheduling/JobPriorities.kt
+++ b/src/main/kotlin/mountmast/coordination/scheduling/JobPriorities.kt
@@ -53,10 +53,15 @@
     fun hasLiftableRestrictions(job: JobView): Boolean = hasGuarantee(job) || job.excludedMachines.isNotEmpty()
 
     /**
-     * Whether the bound on borrowing lets the team of [quota] use [usage] in all. Exception: a team without a guarantee has no
-     * bound on borrowing, as any multiple of a guarantee of zero is zero and would starve the team.
+     * Whether the bound on borrowing lets the team of [quota] use [usage] in all if that includes one more task that takes [task]. Only the
+     * resources that the task takes matter. Exceptions: a resource of which the team is guaranteed nothing has no bound, as any multiple
+     * of zero is zero and would starve the team; and the bound on any other resource is at least one task, however large.
      */
-    fun mayBorrow(quota: TeamQuota, usage: Resources): Boolean = !quota.hasGuarantee || quota.guaranteeCovers(usage, policy.borrowingFactor)
+    fun mayBorrow(quota: TeamQuota, task: Resources, usage: Resources): Boolean =
+        isWithinBound(quota.cpus, task.cpus, usage.cpus) && isWithinBound(quota.gpus, task.gpus, usage.gpus)
+
+    private fun isWithinBound(guaranteed: Double, task: Double, usage: Double): Boolean =
+        guaranteed <= 0 || task <= 0 || usage <= maxOf(policy.borrowingFactor * guaranteed, task) + Resources.EPSILON
 
     private fun hasGuarantee(job: JobView) = snapshot.quotas[job.spec.team]?.hasGuarantee == true
 
--- a/src/main/kotlin/mountmast/coordination/scheduling/Placement.kt
+++ b/src/main/kotlin/mountmast/coordination/scheduling/Placement.kt
@@ -23,6 +23,9 @@
         machines.mapIndexed { i, machine -> Start(job.spec.id, indices[i], machine) }
     }
 
+    /** Returns the resources that [team] uses, with the starts that this cycle has decided on so far. */
+    fun usageOf(team: TeamId): Resources = usage[team] ?: Resources.NONE
+
     /** Returns how many tasks of [job] this cycle has placed. */
     fun startedCount(job: JobView): Int = chosenMachines[job]?.size ?: 0
 
@@ -61,7 +64,7 @@
 
     private fun allowedCount(job: JobView, wanted: Int, isWithinBound: (Resources) -> Boolean): Int {
         val quota = snapshot.quotas[job.spec.team] ?: return 0
-        val usageBefore = usage[job.spec.team] ?: Resources.NONE
+        val usageBefore = usageOf(job.spec.team)
         var count = 0
         while (count < wanted) {
             val usageAfter = usageBefore + job.spec.perTask * (count + 1)
--- a/src/main/kotlin/mountmast/coordination/scheduling/Scheduler.kt
+++ b/src/main/kotlin/mountmast/coordination/scheduling/Scheduler.kt
@@ -23,7 +23,7 @@
         private val placement = Placement(snapshot, policy, constraints)
         private val preemptionPlanner = PreemptionPlanner(snapshot, policy, assurance, placement, constraints)
         private val machineReservations = MachineReservations(snapshot, constraints)
-        private val unplacedTasks = ArrayList<UnplacedTasks>()
+        private val demand = MachineDemand(snapshot, placement)
         private val jobsWithUnplacedGuaranteedTasks = HashSet<JobId>()
 
         fun plan(): SchedulingPlan {
@@ -38,7 +38,7 @@
                 placement.starts(),
                 preemptionPlanner.preemptions,
                 machineReservations.reservations,
-                unplacedTasks,
+                demand.unplacedTasks,
                 assurance.degrees,
             )
         }
@@ -51,7 +51,7 @@
          */
         private fun placeStarved(job: JobView) {
             val quota = snapshot.quotas[job.spec.team] ?: return
-            val isBlocked = placement.place(job, 1) { priorities.mayBorrow(quota, it) } > 0
+            val isBlocked = placement.place(job, 1) { priorities.mayBorrow(quota, job.spec.perTask, it) } > 0
             if (isBlocked && placement.placeOnAnyMachine(job) > 0) machineReservations.reserveFor(job, 1)
         }
 
@@ -61,7 +61,7 @@
             if (wanted <= 0 || !job.mayStart) return
             val blockedCount = placement.place(job, wanted) { true }
             if (blockedCount <= 0) return
-            unplacedTasks += UnplacedTasks(job.spec.id, blockedCount, isGuaranteed = true)
+            demand.add(job, blockedCount, isGuaranteed = true)
             jobsWithUnplacedGuaranteedTasks += job.spec.id
             preemptionPlanner.preemptFor(job, blockedCount, isGuaranteed = true)
         }
@@ -70,9 +70,9 @@
             val quota = snapshot.quotas[job.spec.team] ?: return
             val wanted = job.tasks.openCount - placement.startedCount(job)
             if (!job.mayStart || wanted <= 0 || job.spec.id in jobsWithUnplacedGuaranteedTasks) return
-            val blockedCount = placement.place(job, wanted) { priorities.mayBorrow(quota, it) }
+            val blockedCount = placement.place(job, wanted) { priorities.mayBorrow(quota, job.spec.perTask, it) }
             if (blockedCount <= 0) return
-            unplacedTasks += UnplacedTasks(job.spec.id, blockedCount, isGuaranteed = false)
+            demand.add(job, blockedCount, isGuaranteed = false)
             if (!quota.hasGuarantee && !job.isPoisoned) claimWithoutGuarantee(job, blockedCount)
         }
 
@@ -91,12 +91,12 @@
 
         /**
          * Exception: a job that has waited too long may use capacity that all other jobs left free, beyond the bound on borrowing and
-         * on machines where its tasks failed before. The team's limit applies. No tasks are preempted and no machines are
-         * reserved or requested for tasks that still find no free capacity.
+         * on machines where its tasks failed before. The team's limit applies. No tasks are preempted and no machines are reserved for
+         * tasks that still find no free capacity. One of them is demand for a machine, as there may never be free capacity otherwise.
          */
         private fun placeLongWaiting(job: JobView) {
             val wanted = job.tasks.openCount - placement.startedCount(job)
-            if (wanted > 0) placement.place(job, wanted) { true }
+            if (wanted > 0 && placement.place(job, wanted) { true } > 0) demand.addOneBeyondBound(job)
         }
     }
 
--- a/src/main/kotlin/mountmast/coordination/scheduling/SchedulingPlan.kt
+++ b/src/main/kotlin/mountmast/coordination/scheduling/SchedulingPlan.kt
@@ -16,7 +16,7 @@
 
 /**
  * [count] open tasks of [job] found no machine with free capacity although the team's limit and, for borrowed tasks, the bound on
- * borrowing allow them. [isGuaranteed] tells whether the team's guarantee covers them.
+ * borrowing or its exceptions allow them. [isGuaranteed] tells whether the team's guarantee covers them.
  */
 data class UnplacedTasks(val job: JobId, val count: Int, val isGuaranteed: Boolean)
 
--- a/src/test/kotlin/mountmast/coordination/scheduling/SchedulerTest.kt
+++ b/src/test/kotlin/mountmast/coordination/scheduling/SchedulerTest.kt
@@ -24,7 +24,10 @@
     private val red = TeamQuota(TeamId("red"), 8.0, 32.0, 0.0, 0.0)
     private val blue = TeamQuota(TeamId("blue"), 8.0, 32.0, 0.0, 0.0)
     private val unguaranteed = TeamQuota(TeamId("unguaranteed"), 0.0, 0.0, 0.0, 0.0)
-    private val quotas = listOf(red, blue, unguaranteed).associateBy { it.id }
+    private val cpusOnly = TeamQuota(TeamId("cpus-only"), 48.0, 176.0, 0.0, 8.0)
+    private val gpusOnly = TeamQuota(TeamId("gpus-only"), 0.0, 0.0, 4.0, 16.0)
+    private val small = TeamQuota(TeamId("small"), 2.0, 32.0, 0.0, 0.0)
+    private val quotas = listOf(red, blue, unguaranteed, cpusOnly, gpusOnly, small).associateBy { it.id }
     private val scheduler = Scheduler(SchedulingPolicy())
 
     private fun machine(
@@ -34,10 +37,11 @@
         images: Set<String> = emptySet(),
         zone: String = "a",
         reservedFor: JobId? = null,
+        freeGpus: Double = 0.0,
     ) = MachineView(
         MachineId(name),
         MachineKind(type, Zone(zone), isSpot = false),
-        Resources(freeCpus, 0.0, freeCpus * 4),
+        Resources(freeCpus, freeGpus, freeCpus * 4),
         images.map { ImageId(it) }.toSet(),
         reservedFor,
     ) { tasks }
@@ -55,9 +59,10 @@
         isPoisoned: Boolean = false,
         spreadAcrossZones: Boolean = false,
         excludedMachines: Set<MachineId> = emptySet(),
+        gpus: Double = 0.0,
     ): JobView {
         val spec = JobSpec(
-            JobId("j-$number"), "c", team.id, Shape.ARRAY, urgency, tasks + assigned, cpus, 0.0, cpus, ImageId("i"), 5.0, null, null,
+            JobId("j-$number"), "c", team.id, Shape.ARRAY, urgency, tasks + assigned, cpus, gpus, cpus, ImageId("i"), 5.0, null, null,
             false, spreadAcrossZones, true, estimateS, 0.0, 0.0,
         )
         val jobTasks = JobTasks(tasks, tasks + assigned, assigned, emptyMap()) { count -> IntArray(count) { it + assigned } }
@@ -196,4 +201,52 @@
         assertEquals(0, plan(listOf(reserved), listOf(job(1, unguaranteed, tasks = 3, waitedS = 50.0))).starts.size)
         assertEquals(1, plan(listOf(reserved), listOf(job(1, unguaranteed, tasks = 3, waitedS = 80.0))).starts.size)
     }
+
+    /** The number of tasks that machines are to be found for, by job. */
+    private fun demand(vararg jobs: JobView) = plan(emptyList(), jobs.toList()).unplaced.associate { it.job.text to it.count }
+
+    private fun startsWithRoom(vararg jobs: JobView) = plan(listOf(machine("m", 1000.0, freeGpus = 100.0)), jobs.toList()).starts.size
+
+    /** Guards against: an accepted job for whose GPUs no machine was ever requested, as its team is guaranteed CPUs only. */
+    @Test
+    fun `a resource of which nothing is guaranteed does not bound borrowing, the limit and the other resource do`() {
+        val gpuJob = job(1, cpusOnly, tasks = 16, cpus = 8.0, gpus = 1.0)
+        assertEquals(8, startsWithRoom(gpuJob), "the limit on GPUs")
+        assertEquals(mapOf("j-1" to 8), demand(gpuJob))
+        val wide = job(2, cpusOnly, tasks = 8, cpus = 40.0, gpus = 1.0)
+        assertEquals(3, startsWithRoom(wide), "three times the guaranteed CPUs")
+        assertEquals(mapOf("j-2" to 3), demand(wide))
+    }
+
+    /** Guards against: a team with guaranteed GPUs and no guaranteed CPUs that ran nothing at all. */
+    @Test
+    fun `a team that is guaranteed GPUs only runs its jobs, within three times its GPUs`() {
+        val gpuJob = job(1, gpusOnly, tasks = 20, cpus = 2.0, gpus = 1.0)
+        assertEquals(12, startsWithRoom(gpuJob))
+        assertEquals(mapOf("j-1" to 12), demand(gpuJob))
+        assertEquals(5, startsWithRoom(job(2, gpusOnly, tasks = 5)), "no GPUs")
+    }
+
+    /** Guards against: a task larger than the bound on borrowing that was accepted and never ran. */
+    @Test
+    fun `the bound on borrowing is at least one task, but no more`() {
+        val large = job(1, small, tasks = 3, cpus = 8.0)
+        assertEquals(1, startsWithRoom(large))
+        assertEquals(mapOf("j-1" to 1), demand(large))
+        val running = job(2, small, tasks = 0, cpus = 1.0, assigned = 1)
+        assertEquals(0, startsWithRoom(large, running))
+        assertEquals(emptyMap<String, Int>(), demand(large, running))
+    }
+
+    /** Guards against: a job beyond the bound that waited for idle capacity which nobody rented. */
+    @Test
+    fun `a job that waited too long beyond the bound on borrowing is demand for one task, within the team's limit`() {
+        val running = job(1, red, tasks = 0, assigned = 6)
+        fun waiting(number: Int, waitedS: Double = 80.0) = job(number, red, tasks = 9, waitedS = waitedS)
+        assertEquals(emptyMap<String, Int>(), demand(running, waiting(2, waitedS = 50.0)))
+        assertEquals(mapOf("j-2" to 1), demand(running, waiting(2)))
+        // 24 of the 32 CPUs of the limit are in use: two more tasks may run.
+        assertEquals(mapOf("j-2" to 1, "j-3" to 1), demand(running, waiting(2), waiting(3), waiting(4)))
+        assertEquals(emptyMap<String, Int>(), demand(job(1, red, tasks = 0, assigned = 8), waiting(2)), "the limit is reached")
+    }
 }
