A team's jobs together are demand for machines only up to the team's limit

Cause: each job's unplaced tasks were counted against the limit beside what runs, but not beside the unplaced tasks of the team's other jobs, so machines were rented for tasks that may not run.

Test: SchedulerTest, "a team's jobs together are demand up to the team's limit"; before, both jobs were demand up to the limit.

--- a/src/main/kotlin/mountmast/coordination/scheduling/MachineDemand.kt
+++ b/src/main/kotlin/mountmast/coordination/scheduling/MachineDemand.kt
@@ -13,23 +13,27 @@
     /** The tasks added so far. */
     val unplacedTasks: List<UnplacedTasks> get() = unplaced
 
-    /** Adds [count] tasks of [job] that the team's limit and, unless [isGuaranteed], the bound on borrowing allow. */
+    /**
+     * Adds up to [count] tasks of [job] that found no free capacity: as many as the team's limit allows beside the tasks of the team that run
+     * and those added so far. Nothing is rented for tasks that may not run.
+     */
     fun add(job: JobView, count: Int, isGuaranteed: Boolean) {
-        unplaced += UnplacedTasks(job.spec.id, count, isGuaranteed)
+        val allowedCount = allowedCount(job, count)
+        if (allowedCount == 0) return
+        unplaced += UnplacedTasks(job.spec.id, allowedCount, isGuaranteed)
         jobs += job.spec.id
-        demandByTeam.merge(job.spec.team, job.spec.perTask * count) { a, b -> a + b }
+        demandByTeam.merge(job.spec.team, job.spec.perTask * allowedCount) { a, b -> a + b }
     }
 
-    /**
-     * Adds one task of [job], which only the bound on borrowing keeps from a machine, unless machines are requested for the job anyway. Adds
-     * none that the team's limit would not allow beside the tasks of the team that run and those added so far: nothing is rented for
-     * tasks that may not run.
-     */
+    /** Adds one task of [job], which only the bound on borrowing keeps from a machine, unless machines are requested for the job anyway. */
     fun addOneBeyondBound(job: JobView) {
+        if (job.spec.id !in jobs) add(job, 1, isGuaranteed = false)
+    }
+
+    private fun allowedCount(job: JobView, count: Int): Int {
         val team = job.spec.team
-        val quota = snapshot.quotas[team] ?: return
-        val demanded = demandByTeam[team] ?: Resources.NONE
-        if (job.spec.id in jobs || !quota.limitAllows(placement.usageOf(team) + demanded + job.spec.perTask)) return
-        add(job, 1, isGuaranteed = false)
+        val quota = snapshot.quotas[team] ?: return 0
+        val claimed = placement.usageOf(team) + (demandByTeam[team] ?: Resources.NONE)
+        return job.spec.perTask.copy(memoryGb = 0.0).instancesWithin(quota.limit - claimed, count)
     }
 }
--- a/src/main/kotlin/mountmast/protocol/Settings.kt
+++ b/src/main/kotlin/mountmast/protocol/Settings.kt
@@ -21,9 +21,13 @@
     /** Whether the team is guaranteed any virtual processors or GPUs. */
     val hasGuarantee: Boolean get() = cpus > 0 || gpus > 0
 
+    /** The resources that all of the team's tasks may take together; memory is not limited. */
+    val limit = Resources(unlimitedIfZero(cpusMax), unlimitedIfZero(gpusMax), Double.MAX_VALUE)
+
+    private fun unlimitedIfZero(maximum: Double) = if (maximum <= 0) Double.MAX_VALUE else maximum
+
     /** Whether [usage], all that the team's tasks take, is within the team's limit. */
-    fun limitAllows(usage: Resources) = (cpusMax <= 0 || usage.cpus <= cpusMax + Resources.EPSILON) &&
-        (gpusMax <= 0 || usage.gpus <= gpusMax + Resources.EPSILON)
+    fun limitAllows(usage: Resources) = usage.fitsWithin(limit)
 
     /** Whether [usage], all that the team's tasks take, is within [times] the team's guarantee. */
     fun guaranteeCovers(usage: Resources, times: Double = 1.0) =
--- a/src/test/kotlin/mountmast/coordination/scheduling/SchedulerTest.kt
+++ b/src/test/kotlin/mountmast/coordination/scheduling/SchedulerTest.kt
@@ -27,7 +27,8 @@
     private val cpusOnly = TeamQuota(TeamId("cpus-only"), 48.0, 176.0, 0.0, 8.0)
     private val gpusOnly = TeamQuota(TeamId("gpus-only"), 0.0, 0.0, 4.0, 16.0)
     private val small = TeamQuota(TeamId("small"), 2.0, 32.0, 0.0, 0.0)
-    private val quotas = listOf(red, blue, unguaranteed, cpusOnly, gpusOnly, small).associateBy { it.id }
+    private val smallLimit = TeamQuota(TeamId("small-limit"), 0.0, 32.0, 0.0, 0.0)
+    private val quotas = listOf(red, blue, unguaranteed, cpusOnly, gpusOnly, small, smallLimit).associateBy { it.id }
     private val scheduler = Scheduler(SchedulingPolicy())
 
     private fun machine(
@@ -249,4 +250,13 @@
         assertEquals(mapOf("j-2" to 1, "j-3" to 1), demand(running, waiting(2), waiting(3), waiting(4)))
         assertEquals(emptyMap<String, Int>(), demand(job(1, red, tasks = 0, assigned = 8), waiting(2)), "the limit is reached")
     }
+
+    /** Guards against: machines rented for each of several jobs up to the team's limit, which allows only one of them. */
+    @Test
+    fun `a team's jobs together are demand up to the team's limit`() {
+        val limited = job(1, smallLimit, tasks = 9)
+        assertEquals(mapOf("j-1" to 8), demand(limited, job(2, smallLimit, tasks = 9)))
+        assertEquals(mapOf("j-1" to 1, "j-2" to 5), demand(job(1, smallLimit, assigned = 2), job(2, smallLimit, tasks = 9)))
+        assertEquals(mapOf("j-1" to 9, "j-2" to 9), demand(job(1, unguaranteed, tasks = 9), job(2, unguaranteed, tasks = 9)))
+    }
 }
