--- a/src/main/kotlin/mountmast/coordination/controller/StepLoop.kt
+++ b/src/main/kotlin/mountmast/coordination/controller/StepLoop.kt
@@ -36,6 +36,7 @@
     }
 
     /** Runs the step. Agrona's runner reports an error to its handler like an exception, but ends the loop after it. */
+    @Suppress("TooGenericExceptionCaught") // Whatever error it is, the node cannot do without the loop.
     private fun runStep(): Long = try {
         step()
     } catch (e: Error) {
--- a/src/main/kotlin/mountmast/coordination/scheduling/MachineDemand.kt
+++ b/src/main/kotlin/mountmast/coordination/scheduling/MachineDemand.kt
@@ -14,8 +14,8 @@
     val unplacedTasks: List<UnplacedTasks> get() = unplaced
 
     /**
-     * Adds up to [count] tasks of [job] that found no free capacity: as many as the team's limit allows beside the tasks of the team that run
-     * and those added so far. Nothing is rented for tasks that may not run.
+     * Adds up to [count] tasks of [job] that found no free capacity: as many as the team's limit allows beside the tasks of the team that
+     * run and those added so far. Nothing is rented for tasks that may not run.
      */
     fun add(job: JobView, count: Int, isGuaranteed: Boolean) {
         val allowedCount = allowedCount(job, count)
--- a/src/test/kotlin/mountmast/storage/NestedBodiesTest.kt
+++ b/src/test/kotlin/mountmast/storage/NestedBodiesTest.kt
@@ -69,7 +69,7 @@
         return task.get()
     }
 
-    /** Guards against: submissions, heartbeats and forwarded requests with a nested body that nobody answers, on connections never closed. */
+    /** Guards against: submissions and heartbeats with a nested body that nobody answers. */
     @Test
     fun `a nested body of a user, a worker or a node is answered with 400 over and over again`() {
         val limits = AdmissionLimits(AdmissionLimit(LIMIT, LIMIT), AdmissionLimit(LIMIT, LIMIT))
