A worker that restarted without its memory is fenced off from late copies, and its tasks run again

That one executed the copy: ran_twice beside a moved or a failed task, and starts of a cancelled job. Its own tasks never ran again either.

Cause: its heartbeats look like late copies of its machine's first ones, as their sequence is low.

Change: a stale heartbeat that shows no token is answered with a token above all sent before. A heartbeat that shows that token under an old sequence proves the restart: from then on the worker is ignored and its lease not renewed, until its next incarnation, which is known to have nothing. Late copies of first heartbeats cost a raised token each.

What the protocol leaves to no one: until its first heartbeat is answered, such a worker executes any copy, and no controller can prevent it.

--- a/src/main/kotlin/mountmast/coordination/state/CommandDeliveryState.kt
+++ b/src/main/kotlin/mountmast/coordination/state/CommandDeliveryState.kt
@@ -86,6 +86,11 @@
         tokenOffset = maxOf(tokenOffset, highest + 1)
     }
 
+    /** Raises the fencing token above every token that was sent to the worker so far. */
+    fun raiseToken() {
+        tokenOffset++
+    }
+
     /** Records that the worker shows the token offset [shownOffset]: from now on it refuses requests with a lower offset. */
     fun observeTokenOffset(shownOffset: Int) {
         tokenOffset = maxOf(tokenOffset, shownOffset)
--- a/src/main/kotlin/mountmast/coordination/state/WorkerStatus.kt
+++ b/src/main/kotlin/mountmast/coordination/state/WorkerStatus.kt
@@ -1,5 +1,6 @@
 package mountmast.coordination.state
 
+import mountmast.protocol.FencingToken
 import mountmast.protocol.HeartbeatSequence
 import mountmast.protocol.MonotonicTime
 import mountmast.protocol.WorkerIncarnation
@@ -49,6 +50,13 @@
     var hasShownCurrentTerm = false
         private set
 
+    /** The first token of this incarnation that was sent to a worker suspected to have restarted without its memory, or null. */
+    private var restartToken: FencingToken? = null
+
+    /** Whether the worker has restarted without its memory, so that its sequence numbers of this incarnation are used again. */
+    var hasRestarted = false
+        private set
+
     /** The attempts in the last heartbeat for which the cluster state has no assignment. */
     var unassignedTasks = emptyList<UnassignedTask>()
         private set
@@ -63,6 +71,29 @@
         answeredSequence = null
         answeredHeartbeatSequence = HeartbeatSequence(0u)
         leaseRenewedAt = now
+        restartToken = null
+        hasRestarted = false
+    }
+
+    /**
+     * Records that the worker may have restarted without its memory. The response that is about to be sent shows it [token], which no
+     * worker of this incarnation has seen before, and renews its lease from [now].
+     */
+    fun suspectRestart(token: FencingToken, now: MonotonicTime) {
+        if (restartToken == null) restartToken = token
+        leaseRenewedAt = now
+    }
+
+    /**
+     * Whether a heartbeat of this incarnation with the number [shownSequence] and the token [shownToken] proves that the worker restarted:
+     * without a restart, a heartbeat that shows a token has a higher number than those before the token was sent.
+     */
+    fun provesRestart(shownSequence: HeartbeatSequence, shownToken: FencingToken): Boolean =
+        restartToken.let { it != null && shownToken >= it } && shownSequence <= sequence
+
+    /** Records that the worker has restarted without its memory. */
+    fun recordRestart() {
+        hasRestarted = true
     }
 
     /**
--- a/src/main/kotlin/mountmast/coordination/workers/HeartbeatHandler.kt
+++ b/src/main/kotlin/mountmast/coordination/workers/HeartbeatHandler.kt
@@ -7,8 +7,11 @@
 import mountmast.protocol.Heartbeat
 import mountmast.protocol.HeartbeatResponse
 import mountmast.protocol.MonotonicTime
+import org.slf4j.LoggerFactory
 import kotlin.concurrent.withLock
 
+private val log = LoggerFactory.getLogger("mountmast.workers")
+
 /** Reconciles workers' heartbeats with the cluster state and answers them. Guarded by the lock of the leader's term. */
 class HeartbeatHandler(
     private val context: WorkerContext,
@@ -35,8 +38,7 @@
                 val change = reachabilityMonitor.update(machine, heartbeat, now, readyAt)
                 if (change == ReachabilityChange.RESTORED) context.signals.requestSchedulingCycle()
             }
-            // A stale heartbeat that was not overtaken is a late copy: its sender no longer waits for a response and could not use one.
-            HeartbeatReconciliation.Stale -> if (!isOvertaken(machine, heartbeat)) return NON_RENEWING_RESPONSE
+            HeartbeatReconciliation.Stale -> if (!isOvertaken(machine, heartbeat)) return respondToStale(machine, heartbeat, now)
         }
         renewLease(machine, heartbeat, now)
     }
@@ -53,8 +55,23 @@
      */
     private fun isOvertaken(machine: Machine, heartbeat: Heartbeat) = machine.incarnation == heartbeat.incarnation &&
         machine.id !in cluster.tombstones &&
+        !machine.worker.hasRestarted &&
         heartbeat.sequence > machine.answeredHeartbeatSequence
 
+    /**
+     * Returns the response to [heartbeat], which is stale and was not overtaken. Mostly it is a late copy: its sender no longer waits for a
+     * response and could not use one. But if it shows no token, its worker may have restarted without its memory, in the first incarnation
+     * once more, and would execute a late copy of any start command that the worker before it has executed. It is therefore shown a token
+     * above those of all starts. Test: `LateCopiesTest`.
+     */
+    private fun respondToStale(machine: Machine, heartbeat: Heartbeat, now: MonotonicTime): HeartbeatResponse {
+        val mayHaveRestarted = heartbeat.token == FencingToken.NONE && machine.id !in cluster.tombstones && !machine.worker.hasRestarted
+        if (!mayHaveRestarted) return NON_RENEWING_RESPONSE
+        val response = outstandingCommands.createFencingResponse(machine)
+        machine.worker.suspectRestart(response.token, now)
+        return response
+    }
+
     /**
      * Returns a response to [heartbeat] that renews the worker's lease. Once a leader has loaded its state, it renews workers' leases here
      * only. The renewal is recorded before the response is sent: after a renewal that was not recorded, the leader declared the lease of a
@@ -67,6 +84,7 @@
 
     private fun reconcile(heartbeat: Heartbeat, now: MonotonicTime, origin: Origin): HeartbeatReconciliation {
         val knownMachine = cluster.machines[heartbeat.machine]
+        if (knownMachine != null && isFromRestartedWorker(knownMachine, heartbeat)) return HeartbeatReconciliation.Stale
         val wasUsable = knownMachine?.isUsable(now) == true
         val lostResponses = knownMachine?.let { countLostResponses(it, heartbeat, now) } ?: 0
         val reconciliation = reconciler.reconcile(heartbeat, now)
@@ -85,6 +103,21 @@
         return reconciliation
     }
 
+    /**
+     * Whether the worker of [machine] has restarted without its memory, as [heartbeat] or an earlier one proves, and still is in the
+     * incarnation that this leader knows from before. Its heartbeats cannot be told from those before by their sequence, so none is
+     * applied and none gets a renewing response: its lease expires, and its next incarnation is known to have none of the tasks.
+     */
+    private fun isFromRestartedWorker(machine: Machine, heartbeat: Heartbeat): Boolean {
+        val worker = machine.worker
+        if (heartbeat.incarnation != worker.incarnation) return false
+        if (!worker.hasRestarted && worker.provesRestart(heartbeat.sequence, heartbeat.token)) {
+            worker.recordRestart()
+            log.info("machine={} has a worker that restarted without its memory; it is ignored until its next incarnation", machine.id)
+        }
+        return worker.hasRestarted
+    }
+
     /**
      * Returns how many lost responses to count if [heartbeat] begins a new incarnation of the worker of [machine], and 0 otherwise. A
      * worker that receives responses keeps its incarnation, so a new incarnation after a response shows that the response did not arrive.
@@ -119,6 +152,6 @@
 
     private companion object {
         /** A response without a valid token: no worker accepts it, so it renews no lease. */
-        val NON_RENEWING_RESPONSE = HeartbeatResponse(FencingToken(0u), emptyList())
+        val NON_RENEWING_RESPONSE = HeartbeatResponse(FencingToken.NONE, emptyList())
     }
 }
--- a/src/main/kotlin/mountmast/coordination/workers/OutstandingCommands.kt
+++ b/src/main/kotlin/mountmast/coordination/workers/OutstandingCommands.kt
@@ -63,6 +63,12 @@
         return HeartbeatResponse(tokenFor(machine), commands)
     }
 
+    /** Returns a response without commands to the worker of [machine], under a token above those of all starts. It renews the lease. */
+    fun createFencingResponse(machine: Machine): HeartbeatResponse {
+        machine.delivery.raiseToken()
+        return HeartbeatResponse(tokenFor(machine), emptyList())
+    }
+
     /**
      * Adds the commands that stop the unassigned tasks of [machine], and that make its worker forget those that have exited. A worker that
      * lists too many is made to forget all of them; the token of the same response is raised first, so that a worker which executes the
--- a/src/main/kotlin/mountmast/protocol/Versions.kt
+++ b/src/main/kotlin/mountmast/protocol/Versions.kt
@@ -26,8 +26,11 @@
 
     override fun toString() = if (number % TOKENS_PER_TERM == 0uL) "$term" else "$term.${number % TOKENS_PER_TERM}"
 
-    private companion object {
-        const val TOKENS_PER_TERM = 1_048_576uL
+    companion object {
+        /** The token that a worker shows before it has seen any, which no leader holds. */
+        val NONE = FencingToken(0u)
+
+        private const val TOKENS_PER_TERM = 1_048_576uL
     }
 }
 
--- a/src/test/kotlin/mountmast/standin/SimulatedWorker.kt
+++ b/src/test/kotlin/mountmast/standin/SimulatedWorker.kt
@@ -53,6 +53,9 @@
     private var sequence = 0uL
     private var highestToken = FencingToken(0u)
     private var leaseRenewedAt = time.now
+
+    /** When the worker last restarted without its memory, or -1; the connections from before ended with it. */
+    private var restartedAt = -1L
     private var lastStepAt = time.now
     private val placement = TaskPlacement(id, type.id, zone, spot)
     var address = "$id:9000"
@@ -172,6 +175,18 @@
         address = "$id:${9000 + incarnation.toInt()}"
     }
 
+    /** Restarts the worker without its memory, which takes no time: it loses its tasks, and begins like the worker of a new machine. */
+    fun restartWithoutMemory() {
+        loseLease()
+        incarnation = 1uL
+        sequence = 0uL
+        highestToken = FencingToken.NONE
+        restartedAt = time.now
+    }
+
+    /** Whether this worker has accepted the token of any controller. */
+    val hasSeenToken get() = highestToken > FencingToken.NONE
+
     private fun endAllTasks() {
         for ((key, execution) in attempts) if (execution.isRunning) invariants.recordTaskEnd(key.task, id, done = false)
     }
@@ -185,7 +200,8 @@
 
     /** Processes the answer to the heartbeat that was sent at [sentAt] in incarnation [ofIncarnation]. Ignores outdated answers. */
     fun onHeartbeatAnswer(token: FencingToken, commands: List<WorkerCommand>, sentAt: Long, ofIncarnation: WorkerIncarnation) {
-        if (!isAlive || ofIncarnation.number != incarnation || token < highestToken || time.now - sentAt > 4000) return
+        if (!isAlive || sentAt <= restartedAt) return
+        if (ofIncarnation.number != incarnation || token < highestToken || time.now - sentAt > 4000) return
         highestToken = token
         leaseRenewedAt = sentAt
         commands.forEach(::execute)
