--- a/src/test/kotlin/mountmast/storage/NestedBodiesTest.kt
+++ b/src/test/kotlin/mountmast/storage/NestedBodiesTest.kt
@@ -8,6 +8,7 @@
 import mountmast.protocol.CommandRequest
 import mountmast.protocol.FencingToken
 import mountmast.protocol.ForwardedRequest
+import mountmast.protocol.ForwardedResponse
 import mountmast.protocol.JobValidation
 import mountmast.protocol.MAX_JSON_DEPTH
 import mountmast.protocol.MalformedRequestException
@@ -92,7 +93,7 @@
         val routes = peerRoutes(Users) { PeerHeartbeat("n-2", 7, serves = true, leads = false) }
         val request = ProtoBuf.encodeToByteArray(ForwardedRequest("POST", "/v1/jobs", deep))
         val answer = onSmallStack { routes(Request(Method.POST, "/peer/relay").body(Body(request.inputStream()))) }
-        val forwarded = ProtoBuf.decodeFromByteArray<mountmast.protocol.ForwardedResponse>(answer.body.stream.readAllBytes())
+        val forwarded = ProtoBuf.decodeFromByteArray<ForwardedResponse>(answer.body.stream.readAllBytes())
         assertEquals(400, forwarded.status)
     }
 
