--- a/src/test/kotlin/mountmast/transport/BoundedServerTest.kt
+++ b/src/test/kotlin/mountmast/transport/BoundedServerTest.kt
@@ -121,7 +121,7 @@
         server.stop()
     }
 
-    /** Guards against: a handler that ends by an error and leaves its sender to wait. Whether its connection is counted: `ConnectionSlotsTest`. */
+    /** Guards against: a handler that ends by an error and leaves its sender to wait. `ConnectionSlotsTest` looks at the connections. */
     @Test
     fun `in whatever way a handler ends, its request is answered or its connection is closed, with and without a bulkhead`() {
         val failures = listOf(StackOverflowError("on purpose"), AssertionError("on purpose"), InterruptedException("on purpose"))
